Set up the workspace, the design page and the check script

Cause: the repository was empty; every later change needs one place for decisions, a pinned environment and a verdict that repeats. Change: five packages (core, net, node, cli, emulator), design and glossary pages, retry allowance with property tests, import check that keeps the core free of clocks, sockets and global random sources, a test runner that runs each module in its own process and prints one closing line. Ruled out: editable installs without PYTHONPATH, because a second work tree would then test the first one's sources.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+PACKAGES := core net node cli emulator
+SOURCES := packages tests
+BIN := $(VENV)/bin
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/pollenglade-$(p)/src)):$(CURDIR)/tests
+
+.PHONY: setup run test check format bench soak clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	command -v $(PYTHON) >/dev/null || { echo "Python 3.11 is needed; set PYTHON=/path/to/python3.11" >&2; exit 1; }
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(PACKAGES),--editable packages/pollenglade-$(p))
+	touch $@
+
+run: setup
+	$(BIN)/python -m pollenglade_emulator demo
+
+test: setup
+	$(BIN)/python tests/run.py
+
+check: setup
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/mypy $(SOURCES)
+
+format: setup
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+bench: setup
+	$(BIN)/python -m pollenglade_emulator bench $(SCENARIO)
+
+soak: setup
+	HYPOTHESIS_PROFILE=soak $(BIN)/python tests/run.py
+
+clean:
+	rm -rf $(VENV) build results .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/call.py
@@ -0,0 +1,36 @@
+"""The context under which a call runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .importance import Importance
+from .retry import RetryAllowance
+
+MAX_DEPTH = 13
+"""Largest depth of a call chain; the root call has depth 1."""
+
+
+@dataclass(slots=True)
+class CallContext:
+    """What a node knows about a call; never contains a key.
+
+    `deadline` is in seconds on the monotonic clock of the node that holds the context.
+    """
+
+    call_id: str
+    organisation: str
+    profile: str
+    service: str
+    importance: Importance
+    deadline: float
+    allowance: RetryAllowance
+    weight: int = 1
+    depth: int = 1
+    idempotent: bool = True
+    fingerprint: str = ""
+    crash_count: int = 0
+
+    def remaining_s(self, now: float) -> float:
+        """Seconds until the deadline; negative where it has passed."""
+        return self.deadline - now
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/outcome.py
@@ -0,0 +1,98 @@
+"""What is known about the execution of a call, and refusals as values with a reason."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known about the execution of a call."""
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Why a call was refused or failed."""
+
+    BAD_REQUEST = "bad-request"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_WITHDRAWN = "key-withdrawn"
+    KEY_EXPOSED = "key-exposed"
+    HANDLE_UNKNOWN = "handle-unknown"
+    SERVICE_UNKNOWN = "service-unknown"
+    OVER_RATE = "over-rate"
+    OVERLOADED = "overloaded"
+    QUEUE_DELAY = "queue-delay"
+    DEADLINE = "deadline"
+    NO_TARGET = "no-target"
+    DRAINING = "draining"
+    TOO_DEEP = "too-deep"
+    NOT_CONFIGURED = "not-configured"
+    QUARANTINED = "quarantined"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    IDEMPOTENCY_KEY_MISSING = "idempotency-key-missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
+    IN_PROGRESS = "in-progress"
+    RETRIES_EXHAUSTED = "retries-exhausted"
+    TARGET_FAILED = "target-failed"
+    TARGET_SHED = "target-shed"
+    LINK_FAILED = "link-failed"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+STATUS_BY_REASON: dict[Reason, int] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.KEY_MISSING: 401,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.KEY_WITHDRAWN: 401,
+    Reason.KEY_EXPOSED: 400,
+    Reason.HANDLE_UNKNOWN: 401,
+    Reason.SERVICE_UNKNOWN: 404,
+    Reason.OVER_RATE: 429,
+    Reason.OVERLOADED: 503,
+    Reason.QUEUE_DELAY: 503,
+    Reason.DEADLINE: 504,
+    Reason.NO_TARGET: 503,
+    Reason.DRAINING: 503,
+    Reason.TOO_DEEP: 508,
+    Reason.NOT_CONFIGURED: 503,
+    Reason.QUARANTINED: 503,
+    Reason.CLAIM_UNAVAILABLE: 503,
+    Reason.IDEMPOTENCY_KEY_MISSING: 400,
+    Reason.IDEMPOTENCY_KEY_REUSED: 422,
+    Reason.IN_PROGRESS: 409,
+    Reason.RETRIES_EXHAUSTED: 503,
+    Reason.TARGET_FAILED: 502,
+    Reason.TARGET_SHED: 503,
+    Reason.LINK_FAILED: 502,
+    Reason.TIMEOUT: 504,
+    Reason.CANCELLED: 499,
+}
+"""HTTP status of the response for each reason."""
+
+REASONS_FOR_LOAD = frozenset({Reason.OVERLOADED, Reason.QUEUE_DELAY, Reason.TARGET_SHED})
+"""Reasons that mean that the target or its queue lacks capacity."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A call that gets no response from a target.
+
+    `retry_after_s` is the time in seconds after which a repeat makes sense; None where a repeat
+    cannot succeed.
+    """
+
+    reason: Reason
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_s: float | None = None
+    detail: str = ""
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the response."""
+        return STATUS_BY_REASON[self.reason]
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/profile.py
@@ -0,0 +1,62 @@
+"""Profiles: what each organisation may send and how requests are treated."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from fnmatch import fnmatchcase
+
+from .importance import Importance
+
+DEFAULT_DEADLINE_MS = 2_000
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationContract:
+    """What one organisation may send, summed over all hosts.
+
+    `rate_per_s` and `burst` are whole calls; `weight` is its share where capacity is short.
+    """
+
+    organisation: str
+    rate_per_s: int
+    burst: int
+    weight: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRule:
+    """How requests that match method and path are treated.
+
+    `method` is an HTTP method or `*`; `path` is a shell-style pattern on the path at the target.
+    """
+
+    method: str = "*"
+    path: str = "*"
+    importance: Importance = Importance.NORMAL
+    idempotent: bool = True
+    extra_attempts: int = 2
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+    def matches(self, method: str, path: str) -> bool:
+        """Return whether the rule applies to a request."""
+        return self.method in ("*", method) and fnmatchcase(path, self.path)
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """A named set of contracts and rules, with the services that run under it."""
+
+    name: str
+    services: tuple[str, ...] = ()
+    organisations_by_id: Mapping[str, OrganisationContract] = field(default_factory=dict)
+    rules: tuple[RequestRule, ...] = ()
+
+    def rule_for(self, method: str, path: str) -> RequestRule:
+        """Return the first rule that matches, or the default for the method."""
+        for rule in self.rules:
+            if rule.matches(method, path):
+                return rule
+        return RequestRule(method=method, idempotent=method in IDEMPOTENT_METHODS)
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_retry.py
@@ -0,0 +1,43 @@
+"""Guards against attempts that exceed the allowance of the root call."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.retry import RetryBudget
+
+
+class RetryAllowanceTest(unittest.TestCase):
+    @given(st.integers(0, 50), st.lists(st.tuples(st.integers(1, 5), st.integers(-3, 60))))
+    def test_shares_never_create_attempts(
+        self, start: int, exchanges: list[tuple[int, int]]
+    ) -> None:
+        """A share that comes back with a wrong count must not enlarge the allowance."""
+        allowance = RetryAllowance(start)
+        for concurrent, unspent in exchanges:
+            before = allowance.remaining
+            lent = allowance.lend(concurrent)
+            allowance.give_back(unspent, lent)
+            self.assertLessEqual(allowance.remaining, before)
+            self.assertGreaterEqual(allowance.remaining, 0)
+
+    def test_take_stops_at_zero(self) -> None:
+        """An empty allowance must refuse a further attempt."""
+        allowance = RetryAllowance(1)
+        self.assertTrue(allowance.take())
+        self.assertFalse(allowance.take())
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_ratio_bounds_retries(self) -> None:
+        """Without the ratio, a failing service would double the load of its callers."""
+        budget = RetryBudget()
+        retries = 0
+        for _ in range(1_000):
+            budget.on_call()
+            retries += budget.take()
+        self.assertLessEqual(retries, 1_000 * budget.ratio + budget.reserve)
