--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/quota.py
@@ -0,0 +1,41 @@
+"""Fleet-wide rate limits: shares by zone, granting buckets, holders and borrowers."""
+
+from __future__ import annotations
+
+from .granting_bucket import GrantingBucket
+from .quota_borrower import AskHolder
+from .quota_borrower import QuotaBorrower
+from .quota_borrower import Refused
+from .quota_borrower import SettleHolder
+from .quota_borrower import Spent
+from .quota_borrower import Waiting
+from .quota_holder import QuotaHolder
+from .quota_holder import SlotAuthority
+from .quota_holder import SlotHold
+from .quota_messages import GRANT_LIFETIME_S
+from .quota_messages import Account
+from .quota_messages import Denied
+from .quota_messages import Granted
+from .quota_messages import QuotaAsk
+from .quota_messages import Settlement
+from .zone_shares import zone_shares
+
+__all__ = [
+    "GRANT_LIFETIME_S",
+    "Account",
+    "AskHolder",
+    "Denied",
+    "Granted",
+    "GrantingBucket",
+    "QuotaAsk",
+    "QuotaBorrower",
+    "QuotaHolder",
+    "Refused",
+    "SettleHolder",
+    "Settlement",
+    "SlotAuthority",
+    "SlotHold",
+    "Spent",
+    "Waiting",
+    "zone_shares",
+]
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/zone_shares.py
@@ -0,0 +1,30 @@
+"""Division of a contract's figures over zones."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from fractions import Fraction
+
+
+def zone_shares(total: int, zones: Sequence[str], weights: Mapping[str, int]) -> dict[str, int]:
+    """Return whole shares by zone that sum to `total`; a missing weight counts as 1.
+
+    Zones and weights come from the configuration, never from the live members: zones that divide
+    by different views would together hand out more than the total. Seats go to the highest
+    average (D'Hondt). This keeps every share from falling when the total rises, so zones that
+    apply a change of the total at different times never exceed the larger of the two totals.
+    """
+    if total < 0:
+        raise ValueError(f"total must not be negative: {total}")
+    if not zones or len(set(zones)) != len(zones):
+        raise ValueError("zones must be distinct and not empty; name every zone once")
+    weight_by_zone = {zone: weights.get(zone, 1) for zone in sorted(zones)}
+    if min(weight_by_zone.values()) < 0 or not any(weight_by_zone.values()):
+        raise ValueError("weights must not be negative, and one must be above 0")
+    weight_sum = sum(weight_by_zone.values())
+    shares = {zone: total * weight // weight_sum for zone, weight in weight_by_zone.items()}
+    for _ in range(total - sum(shares.values())):
+        winner = max(shares, key=lambda zone: Fraction(weight_by_zone[zone], shares[zone] + 1))
+        shares[winner] += 1
+    return shares
