Add API keys and the search for a secret in call data

Cause: a request may run only for the organisation whose key came with it, and no target may see a key.

Ruled out: keeping the secret in the record (a platform row would then be enough to act for an organisation), and decoding base64 text before the search (the start of an embedded text is not known). The search compares with the characters that the secret determines at each of the three base64 alignments.

Change: `keys` with `KeyRecord`, `parse_key`, `matches`, `find_secret` and `SecretScanner`, which keeps an overlap between body chunks. Two layers of percent-encoding are removed.

--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/keys.py
@@ -0,0 +1,131 @@
+"""API keys: their text form, the stored record and the search for a secret in call data."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import hmac
+import re
+from dataclasses import dataclass
+from dataclasses import field
+from functools import cached_property
+from urllib.parse import unquote_to_bytes
+
+KEY_PREFIX = "pgk_"
+SECRET_BYTES = 32
+SECRET_LENGTH = 43
+"""Characters of a secret: 32 bytes in unpadded URL-safe base64."""
+
+DECODE_ROUNDS = 2
+"""Layers of percent-encoding that the search removes.
+
+Two layers cover a URL inside a query parameter; more layers are not undone by any single target.
+"""
+
+_KEY_ID = r"[A-Za-z0-9-]{1,64}"
+_KEY = re.compile(rf"{KEY_PREFIX}({_KEY_ID})_([A-Za-z0-9_-]{{{SECRET_LENGTH}}})")
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """A published key; the secret itself is not kept.
+
+    `secret_hash` is the SHA-256 of the secret text in hexadecimal. `revision` is the configuration
+    version that last changed the key.
+    """
+
+    id: str
+    organisation: str
+    secret_hash: str
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedKey:
+    """A key as presented by a caller; its secret is kept out of `repr`."""
+
+    id: str
+    secret: str = field(repr=False)
+
+
+def key_text(key_id: str, secret_bytes: bytes) -> str:
+    """Return the text of a new key; raise ValueError for a wrong id or length of the secret."""
+    secret = base64.urlsafe_b64encode(secret_bytes).rstrip(b"=").decode()
+    text = f"{KEY_PREFIX}{key_id}_{secret}"
+    if not _KEY.fullmatch(text):
+        raise ValueError(f"a key needs an id of letters, digits, '-' and {SECRET_BYTES} bytes")
+    return text
+
+
+def parse_key(text: str) -> ParsedKey | None:
+    """Return the parts of a key text, or None where the text is not a key."""
+    match = _KEY.fullmatch(text)
+    return ParsedKey(match[1], match[2]) if match else None
+
+
+def hash_secret(secret: str) -> str:
+    """Return the SHA-256 of a secret in hexadecimal."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def matches(record: KeyRecord, key: ParsedKey) -> bool:
+    """Return whether the presented key is the recorded one; takes constant time per secret."""
+    same_secret = hmac.compare_digest(hash_secret(key.secret), record.secret_hash)
+    return same_secret and record.id == key.id
+
+
+def find_secret(secret: str, data: bytes) -> bool:
+    """Return whether data holds the secret: plain, percent-encoded or inside base64 text.
+
+    Percent-encoding may cover any characters, in either hexadecimal case. Base64 is found at each
+    alignment and in both alphabets, as in `Authorization: Basic`. Compressed, encrypted and
+    line-wrapped base64 data is not seen.
+    """
+    return SecretScanner(secret).feed(data)
+
+
+class SecretScanner:
+    """Searches body chunks for a secret, including one that is split over chunks."""
+
+    def __init__(self, secret: str) -> None:
+        if not secret:
+            raise ValueError("an empty secret cannot be searched for")
+        self._needles = _needles(secret.encode())
+        self._tail = b""
+
+    @cached_property
+    def overlap(self) -> int:
+        """Bytes kept between chunks: the longest encoded form less one byte."""
+        longest = max(len(needle) for needle in self._needles)
+        return int(longest * 3**DECODE_ROUNDS) - 1
+
+    def feed(self, chunk: bytes) -> bool:
+        """Return whether the secret ends in this chunk."""
+        window = self._tail + chunk
+        self._tail = window[-self.overlap :]
+        return self._holds(window)
+
+    def _holds(self, data: bytes) -> bool:
+        for _ in range(DECODE_ROUNDS):
+            if any(needle in data for needle in self._needles):
+                return True
+            if b"%" not in data:
+                return False
+            data = unquote_to_bytes(data)
+        return any(needle in data for needle in self._needles)
+
+
+def _needles(secret: bytes) -> frozenset[bytes]:
+    """Return the plain secret and its base64 forms.
+
+    A base64 form keeps only the characters that the secret alone determines, so the text before
+    and after the secret does not matter.
+    """
+    forms = {secret}
+    for offset in range(3):
+        first = -(-8 * offset // 6)
+        last = 8 * (offset + len(secret)) // 6
+        padded = bytes(offset) + secret
+        forms.add(base64.b64encode(padded)[first:last])
+        forms.add(base64.urlsafe_b64encode(padded)[first:last])
+    return frozenset(forms - {b""})
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_keys.py
@@ -0,0 +1,91 @@
+"""Guards against keys that are accepted wrongly and secrets that reach a target."""
+
+from __future__ import annotations
+
+import base64
+import unittest
+from itertools import pairwise
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.keys import KeyRecord
+from pollenglade_core.keys import SecretScanner
+from pollenglade_core.keys import find_secret
+from pollenglade_core.keys import hash_secret
+from pollenglade_core.keys import key_text
+from pollenglade_core.keys import matches
+from pollenglade_core.keys import parse_key
+
+KEY_IDS = st.from_regex(r"[A-Za-z0-9-]{1,64}", fullmatch=True)
+SECRETS = st.binary(min_size=32, max_size=32)
+
+
+@st.composite
+def hidden_secrets(draw: st.DrawFn) -> tuple[str, bytes]:
+    """A secret and data that contains it in one of the forms that targets decode."""
+    parsed = parse_key(key_text("k1", draw(SECRETS)))
+    assert parsed is not None
+    before, after = draw(st.binary(max_size=80)), draw(st.binary(max_size=80))
+    form = parsed.secret.encode()
+    if draw(st.booleans()):
+        encode = draw(st.sampled_from([base64.b64encode, base64.urlsafe_b64encode]))
+        form = encode(draw(st.binary(max_size=5)) + form + draw(st.binary(max_size=5)))
+    for _ in range(draw(st.integers(0, 2))):
+        form = percent_encode(draw, form)
+    return parsed.secret, before.replace(b"%", b"") + form + after
+
+
+def percent_encode(draw: st.DrawFn, data: bytes) -> bytes:
+    """Encode any subset of the bytes, with hexadecimal digits in any case."""
+    choices = draw(st.lists(st.sampled_from("-xX"), min_size=len(data), max_size=len(data)))
+    parts = [
+        bytes([byte]) if choice == "-" else f"%{byte:02{choice}}".encode()
+        for byte, choice in zip(data, choices, strict=True)
+    ]
+    return b"".join(parts)
+
+
+class KeyTest(unittest.TestCase):
+    @given(KEY_IDS, SECRETS, SECRETS)
+    def test_only_the_recorded_secret_matches(self, key_id: str, one: bytes, two: bytes) -> None:
+        """A key with another secret or id must not act for the organisation."""
+        key, other = parse_key(key_text(key_id, one)), parse_key(key_text(key_id, two))
+        assert key is not None and other is not None
+        record = KeyRecord(key_id, "acme", hash_secret(key.secret))
+        self.assertTrue(matches(record, key))
+        self.assertEqual(one == two, matches(record, other))
+        self.assertFalse(matches(KeyRecord(key_id + "x", "acme", record.secret_hash), key))
+        self.assertNotIn(key.secret, repr(key))
+
+    @given(st.text() | st.from_regex(r"pgk_[\w-]*_[\w-]*"))
+    def test_parse_accepts_only_whole_keys(self, text: str) -> None:
+        """A malformed or trailing part must not be dropped silently."""
+        key = parse_key(text)
+        if key is not None:
+            self.assertEqual(text, f"pgk_{key.id}_{key.secret}")
+
+
+class FindSecretTest(unittest.TestCase):
+    @given(hidden_secrets(), st.lists(st.integers(0, 900), max_size=6))
+    def test_secret_is_found_in_every_form_and_split(
+        self, case: tuple[str, bytes], cuts: list[int]
+    ) -> None:
+        """A secret that is encoded or split over chunks must not pass to a target."""
+        secret, data = case
+        self.assertTrue(find_secret(secret, data))
+        scanner = SecretScanner(secret)
+        edges = [0, *sorted(cuts), max(900, len(data))]
+        chunks = [data[a:b] for a, b in pairwise(edges)]
+        self.assertTrue(any(scanner.feed(chunk) for chunk in chunks))
+        scanner = SecretScanner(secret)
+        self.assertTrue(any(scanner.feed(bytes([byte])) for byte in data))
+
+    @given(SECRETS, st.binary(max_size=300))
+    def test_other_data_passes(self, secret_bytes: bytes, data: bytes) -> None:
+        """A part of a secret must not refuse a call; only the whole secret does."""
+        key = parse_key(key_text("k1", secret_bytes))
+        assert key is not None
+        part = key.secret[:-1].encode()
+        if key.secret.encode() not in data:
+            self.assertFalse(find_secret(key.secret, part + b"." + data.replace(b"%", b"")))
