--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration.py
@@ -0,0 +1,222 @@
+"""The published configuration and the changes that lead from one version to the next."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from enum import StrEnum
+from functools import cached_property
+
+from .finding import Finding
+from .finding import Findings
+from .keys import KeyRecord
+from .profile import Profile
+
+WITHDRAWN_KEPT = 1_024
+"""Withdrawn names that stay in the configuration.
+
+They let a node answer `key-withdrawn` instead of `key-unknown` and let a conflict name the change
+that withdrew. At 1,000 changes a day the most recent ones cover at least a day.
+"""
+
+
+class Kind(StrEnum):
+    """What a change is about."""
+
+    PROFILE = "profile"
+    KEY = "key"
+
+
+class Action(StrEnum):
+    """What a change does to its subject."""
+
+    PUBLISH = "publish"
+    CHANGE = "change"
+    WITHDRAW = "withdraw"
+
+
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    """Who made a change, when (seconds since the epoch) and under which operation id."""
+
+    who: str
+    when: float
+    operation_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProfileChange:
+    """Publishes (revision 0), changes or withdraws (no profile) a profile."""
+
+    name: str
+    expected_revision: int
+    profile: Profile | None
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class KeyChange:
+    """Publishes (revision 0), changes or withdraws (no key) a key."""
+
+    key_id: str
+    expected_revision: int
+    key: KeyRecord | None
+    stamp: Stamp
+
+
+Change = ProfileChange | KeyChange
+
+
+@dataclass(frozen=True, slots=True)
+class Acceptance:
+    """The last accepted change of a name; its revision is the configuration version it made."""
+
+    action: Action
+    revision: int
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A change whose expected revision is not current; `other` is the change that came first.
+
+    `other` is None where the name does not exist and no withdrawal of it is on record.
+    """
+
+    kind: Kind
+    name: str
+    expected_revision: int
+    current_revision: int
+    other: Acceptance | None
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """All published profiles and keys at one version; never modified after its creation."""
+
+    version: int = 0
+    profiles_by_name: Mapping[str, Profile] = field(default_factory=dict)
+    keys_by_id: Mapping[str, KeyRecord] = field(default_factory=dict)
+    acceptances_by_subject: Mapping[str, Acceptance] = field(default_factory=dict)
+
+    @cached_property
+    def _profiles_by_service(self) -> Mapping[str, Profile]:
+        profiles = self.profiles_by_name.values()
+        return {service: profile for profile in profiles for service in profile.services}
+
+    def profile_of_service(self, service: str) -> Profile | None:
+        """Return the profile under which a service runs."""
+        return self._profiles_by_service.get(service)
+
+    def acceptance(self, kind: Kind, name: str) -> Acceptance | None:
+        """Return the last change of a name, including its withdrawal."""
+        return self.acceptances_by_subject.get(_subject(kind, name))
+
+    def revision(self, kind: Kind, name: str) -> int:
+        """Return the revision that a change of the name must expect; 0 where not published."""
+        accepted = self.acceptance(kind, name)
+        if accepted is None or accepted.action is Action.WITHDRAW:
+            return 0
+        return accepted.revision
+
+    def is_key_withdrawn(self, key_id: str) -> bool:
+        """Return whether the key was published and then withdrawn."""
+        accepted = self.acceptance(Kind.KEY, key_id)
+        return accepted is not None and accepted.action is Action.WITHDRAW
+
+    @cached_property
+    def _digest(self) -> str:
+        from .configuration_wire import to_wire
+
+        text = json.dumps(to_wire(self), sort_keys=True, separators=(",", ":"))
+        return hashlib.sha256(text.encode()).hexdigest()
+
+    def digest(self) -> str:
+        """Return a hash that is equal on every node with the same configuration."""
+        return self._digest
+
+
+def subject_of(change: Change) -> tuple[Kind, str]:
+    """Return the kind and name that a change is about."""
+    if isinstance(change, ProfileChange):
+        return Kind.PROFILE, change.name
+    return Kind.KEY, change.key_id
+
+
+def action_of(change: Change) -> Action:
+    """Return whether a change publishes, changes or withdraws."""
+    value = change.profile if isinstance(change, ProfileChange) else change.key
+    if value is None:
+        return Action.WITHDRAW
+    return Action.CHANGE if change.expected_revision else Action.PUBLISH
+
+
+def apply(configuration: Configuration, change: Change) -> Configuration | Conflict | Findings:
+    """Return the next configuration, or why the change is not accepted.
+
+    A conflict depends on the name of the change only. Findings are problems that no newer revision
+    would solve, such as a service that runs under another profile.
+    """
+    kind, name = subject_of(change)
+    current = configuration.revision(kind, name)
+    withdraws_nothing = current == 0 and action_of(change) is Action.WITHDRAW
+    if current != change.expected_revision or withdraws_nothing:
+        other = configuration.acceptance(kind, name)
+        return Conflict(kind, name, change.expected_revision, current, other)
+    findings = _findings(configuration, change)
+    if findings:
+        return Findings(tuple(findings))
+    return _accept(configuration, change)
+
+
+def _accept(configuration: Configuration, change: Change) -> Configuration:
+    version = configuration.version + 1
+    profiles, keys = dict(configuration.profiles_by_name), dict(configuration.keys_by_id)
+    if isinstance(change, ProfileChange):
+        profiles.pop(change.name, None)
+        if change.profile is not None:
+            profiles[change.name] = change.profile
+    else:
+        keys.pop(change.key_id, None)
+        if change.key is not None:
+            keys[change.key_id] = replace(change.key, revision=version)
+    accepted = dict(configuration.acceptances_by_subject)
+    accepted[_subject(*subject_of(change))] = Acceptance(action_of(change), version, change.stamp)
+    return Configuration(version, profiles, keys, _without_old_withdrawals(accepted))
+
+
+def _without_old_withdrawals(accepted: dict[str, Acceptance]) -> dict[str, Acceptance]:
+    withdrawn = [name for name, item in accepted.items() if item.action is Action.WITHDRAW]
+    excess = len(withdrawn) - WITHDRAWN_KEPT
+    if excess > 0:
+        withdrawn.sort(key=lambda name: accepted[name].revision)
+        for name in withdrawn[:excess]:
+            del accepted[name]
+    return accepted
+
+
+def _findings(configuration: Configuration, change: Change) -> list[Finding]:
+    if isinstance(change, KeyChange):
+        if change.key is None or change.key.id == change.key_id:
+            return []
+        return [Finding("key", f"has id '{change.key.id}', expected '{change.key_id}'")]
+    if change.profile is None:
+        return []
+    findings: list[Finding] = []
+    if change.profile.name != change.name:
+        text = f"is '{change.profile.name}', expected '{change.name}'; correct the name"
+        findings.append(Finding("name", text))
+    for index, service in enumerate(change.profile.services):
+        owner = configuration.profile_of_service(service)
+        if owner is not None and owner.name != change.name:
+            text = f"service '{service}' runs under profile '{owner.name}'; remove it from one"
+            findings.append(Finding(f"services[{index}]", text))
+    return findings
+
+
+def _subject(kind: Kind, name: str) -> str:
+    return f"{kind}/{name}"
