--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_profile_file.py
@@ -0,0 +1,88 @@
+"""Guards against profile files that crash the reader or hide some of their problems."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.finding import Findings
+from pollenglade_core.importance import Importance
+from pollenglade_core.profile import Profile
+from pollenglade_core.profile_file import profile_from_tables
+from pollenglade_core.profile_file import read_profile
+
+GOOD = b"""
+name = "residencies"
+services = ["open-calls", "fees"]
+[organisations.acme]
+rate_per_s = 200
+burst = 400
+[[rules]]
+method = "POST"
+path = "/applications/*"
+importance = "critical"
+extra_attempts = 0
+"""
+
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
+FIELD_NAMES = st.sampled_from(
+    ["name", "services", "organisations", "rules", "rate_per_s", "burst", "method", "importance"]
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(FIELD_NAMES | st.text(max_size=8), inner, max_size=6),
+    max_leaves=20,
+)
+TABLES = st.dictionaries(FIELD_NAMES, VALUES)
+
+
+class ProfileFileTest(unittest.TestCase):
+    def check(self, result: object) -> None:
+        """Assert a typed result whose findings all say something."""
+        self.assertIsInstance(result, Profile | Findings)
+        if isinstance(result, Findings):
+            self.assertTrue(result.items)
+            self.assertTrue(all(item.text for item in result.items))
+
+    @given(st.binary() | st.text().map(str.encode), st.integers(0, len(GOOD)))
+    def test_any_bytes_give_a_typed_result(self, noise: bytes, position: int) -> None:
+        """A damaged file must give findings, not a traceback."""
+        self.check(read_profile(noise))
+        self.check(read_profile(GOOD[:position] + noise + GOOD[position:]))
+
+    @given(TABLES)
+    def test_any_tables_give_a_typed_result(self, tables: dict[str, Any]) -> None:
+        """A value of an unexpected type must give a finding, not a traceback."""
+        self.check(profile_from_tables(tables))
+
+    def test_deep_nesting_and_huge_numbers(self) -> None:
+        """Input that exhausts the TOML reader must not end the command."""
+        for text in (b"a = " + b"[" * 50_000, b"a = " + b"9" * 5_000, b"a = 1\n" * 100_000):
+            self.assertIsInstance(read_profile(text), Findings)
+
+    def test_all_findings_come_together_with_their_place(self) -> None:
+        """An operator who sees one problem at a time publishes late."""
+        bad = GOOD.replace(b"200", b"0").replace(b"critical", b"urgent").replace(b"fees", b"Fees")
+        result = read_profile(bad.replace(b"burst", b"bursts"))
+        assert isinstance(result, Findings)
+        expected = {
+            "services[1]",
+            "organisations.acme.rate_per_s",
+            "organisations.acme.burst",
+            "organisations.acme.bursts",
+            "rules[0].importance",
+        }
+        self.assertEqual(expected, {item.place for item in result.items})
+
+    def test_good_file(self) -> None:
+        """A default that changes silently would alter what is in force; POST is not repeatable."""
+        profile = read_profile(GOOD)
+        assert isinstance(profile, Profile)
+        rule = profile.rule_for("POST", "/applications/1")
+        self.assertEqual(Importance.CRITICAL, rule.importance)
+        self.assertEqual((False, 0), (rule.idempotent, rule.extra_attempts))
+        self.assertEqual(400, profile.organisations_by_id["acme"].burst)
