Add an HTTP server and client by h11

Cause: both edges of a node, the control port and the platform client need HTTP/1.1 with strict framing and a truthful record of whether a request was sent. Found by the tests and fixed: pipelined requests were dropped when the caller closed its sending side between two requests; h11 limits a head only while it is incomplete, so a 40 KB head in one read passed.

--- /dev/null
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -0,0 +1,337 @@
+"""HTTP/1.1 client connections by h11, pooled for each address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import Protocol
+
+import h11
+
+from .http_message import MAX_HEAD_BYTES
+from .http_message import FailureReason
+from .http_message import Headers
+from .http_message import HttpFailure
+from .http_message import HttpResponse
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_IDLE_S = 30.0
+FRESH_IDLE_S = 1.0
+"""A connection idle for longer is not used for a call that must not be repeated."""
+
+MAX_IDLE_CONNECTIONS = 64
+
+
+class ResponseSink(Protocol):
+    """Receives the parts of one response; exactly one of `on_end` and `on_failure` comes last."""
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Take the status and header fields."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def on_end(self) -> None:
+        """Take the end of a whole response."""
+
+    def on_failure(self, failure: HttpFailure) -> None:
+        """Take the reason why the response is missing or incomplete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Host and port of a server."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Parse `host:port`; raise ValueError where the text has another form."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdigit() or int(port) > 65_535:
+            raise ValueError(f"{text!r} is not an address; write it as host:port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server; runs one request at a time."""
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self.address = address
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._sink: ResponseSink | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.idle_since = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a request can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._pool.forget(self)
+        if self._sink is not None:
+            self._h11.receive_data(b"")
+            self._advance()
+            self._fail(FailureReason.CLOSED, str(exc or "connection closed by the server"))
+
+    def eof_received(self) -> bool:
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if self._sink is None:
+            # Bytes without a request would be taken for the response to the next request.
+            self.abort()
+            return
+        self._h11.receive_data(data)
+        self._advance()
+
+    def send(
+        self,
+        method: str,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        sink: ResponseSink,
+        timeout_s: float,
+    ) -> None:
+        """Send a request; the sink gets the response or the failure."""
+        assert self._transport is not None and self._sink is None
+        self._sink = sink
+        fields = headers
+        if body or method in ("POST", "PUT", "PATCH"):
+            fields = [*headers, (b"content-length", b"%d" % len(body))]
+        try:
+            parts = [self._h11.send(h11.Request(method=method, target=target, headers=fields))]
+            if body:
+                parts.append(self._h11.send(h11.Data(data=body)))
+            parts.append(self._h11.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            self._sink = None
+            self.abort()
+            sink.on_failure(HttpFailure(FailureReason.PROTOCOL, False, str(error)))
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(timeout_s, self._fail, FailureReason.TIMEOUT, "no response")
+        self._transport.write(b"".join(part for part in parts if part))
+
+    def _advance(self) -> None:
+        while self._sink is not None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail(FailureReason.PROTOCOL, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._sink.on_head(event.status_code, list(event.headers))
+            elif isinstance(event, h11.Data):
+                self._sink.on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._complete()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _complete(self) -> None:
+        sink, self._sink = self._sink, None
+        self._stop_timer()
+        reusable = (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+            and not self._h11.trailing_data[0]
+            and self.is_open
+        )
+        if reusable:
+            self._h11.start_next_cycle()
+            self.idle_since = asyncio.get_running_loop().time()
+            self._pool.give_back(self)
+        else:
+            self.abort()
+        assert sink is not None
+        sink.on_end()
+
+    def _fail(self, reason: FailureReason, detail: str) -> None:
+        sink, self._sink = self._sink, None
+        self._stop_timer()
+        self.abort()
+        if sink is not None:
+            sink.on_failure(HttpFailure(reason, True, detail))
+
+    def cancel(self) -> None:
+        """Give up on the response; the connection is closed, never reused."""
+        self._sink = None
+        self._stop_timer()
+        self.abort()
+
+    def pause(self) -> None:
+        """Stop reading from the server until `resume`."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Continue reading from the server."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._pool.forget(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class ConnectionPool:
+    """Open connections by address; the most recently used one is taken first."""
+
+    def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+        self._idle_by_address: dict[Address, deque[ClientConnection]] = {}
+        self._max_idle = max_idle
+        self._open: set[ClientConnection] = set()
+
+    def take(self, address: Address, max_idle_s: float = MAX_IDLE_S) -> ClientConnection | None:
+        """Return an idle connection that was used within `max_idle_s`, or None."""
+        idle = self._idle_by_address.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and now - connection.idle_since <= max_idle_s:
+                return connection
+            connection.abort()
+        return None
+
+    async def connect(
+        self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientConnection | HttpFailure:
+        """Open a new connection."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self, address), address.host, address.port
+                )
+        except TimeoutError:
+            return HttpFailure(FailureReason.CONNECT, False, f"{address}: connect timed out")
+        except OSError as error:
+            return HttpFailure(FailureReason.CONNECT, False, f"{address}: {error}")
+        self._open.add(connection)
+        return connection
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request."""
+        idle = self._idle_by_address.setdefault(connection.address, deque())
+        if len(idle) >= self._max_idle:
+            idle.popleft().abort()
+        idle.append(connection)
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Remove a connection that is closed."""
+        self._open.discard(connection)
+        idle = self._idle_by_address.get(connection.address)
+        if idle and connection in idle:
+            idle.remove(connection)
+
+    def drop_address(self, address: Address) -> None:
+        """Close all idle connections to an address."""
+        for connection in list(self._idle_by_address.pop(address, ())):
+            connection.abort()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connection in list(self._open):
+            connection.abort()
+        self._idle_by_address.clear()
+        await asyncio.sleep(0)
+
+
+class _Collector:
+    """Sink that collects a whole response into a future."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.result: asyncio.Future[HttpResponse | HttpFailure] = loop.create_future()
+        self._status = 0
+        self._headers: Headers = []
+        self._parts: list[bytes] = []
+        self._bytes = 0
+        self._limit = limit_bytes
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        self._status = status
+        self._headers = headers
+
+    def on_data(self, data: bytes) -> None:
+        self._bytes += len(data)
+        if self._bytes <= self._limit:
+            self._parts.append(data)
+
+    def on_end(self) -> None:
+        if self._bytes > self._limit:
+            self.on_failure(HttpFailure(FailureReason.TOO_LARGE, True))
+        elif not self.result.done():
+            body = b"".join(self._parts)
+            self.result.set_result(HttpResponse(self._status, self._headers, body))
+
+    def on_failure(self, failure: HttpFailure) -> None:
+        if not self.result.done():
+            self.result.set_result(failure)
+
+
+class HttpClient:
+    """Sends requests whose responses are collected as a whole."""
+
+    def __init__(self, pool: ConnectionPool | None = None) -> None:
+        self._pool = pool or ConnectionPool()
+
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_s: float = 2.0,
+        limit_bytes: int = MAX_RESPONSE_BYTES,
+        max_idle_s: float = MAX_IDLE_S,
+    ) -> HttpResponse | HttpFailure:
+        """Send one request; `timeout_s` covers connecting and the whole response."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        connection = self._pool.take(address, max_idle_s)
+        if connection is None:
+            opened = await self._pool.connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
+            if isinstance(opened, HttpFailure):
+                return opened
+            connection = opened
+        collector = _Collector(limit_bytes)
+        fields = [(b"host", str(address).encode()), *(headers or [])]
+        remaining = max(deadline - loop.time(), 0.001)
+        connection.send(method, target.encode(), fields, body, collector, remaining)
+        try:
+            return await collector.result
+        except asyncio.CancelledError:
+            connection.cancel()
+            raise
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.close()
--- /dev/null
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -0,0 +1,350 @@
+"""An HTTP/1.1 server by h11 that hands whole requests to a synchronous handler."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import h11
+import orjson
+
+from .http_message import MAX_BODY_BYTES
+from .http_message import MAX_HEAD_BYTES
+from .http_message import Headers
+from .http_message import HttpRequest
+from .http_message import HttpResponse
+
+PIPELINE_LIMIT_BYTES = 64 * 1024
+"""Bytes of pipelined requests that are buffered before reading pauses."""
+
+BODYLESS_STATUS = frozenset({204, 304})
+LISTEN_BACKLOG = 1024
+
+Handler = Callable[["Exchange"], None]
+AsyncHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class Exchange:
+    """One request and the response that the handler gives to it."""
+
+    __slots__ = ("_bodyless", "_connection", "_method", "on_cancel", "on_drained", "request")
+
+    def __init__(self, connection: ServerConnection, request: HttpRequest) -> None:
+        self._connection: ServerConnection | None = connection
+        self.request = request
+        self._method = request.method
+        self._bodyless = False
+        self.on_cancel: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller is still connected and waits for the response."""
+        return self._connection is not None
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the write buffer towards the caller is full."""
+        return self._connection is not None and self._connection.congested
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response in one write."""
+        connection = self._connection
+        if connection is None:
+            return
+        fields = [item for item in headers if item[0] != b"content-length"]
+        if status not in BODYLESS_STATUS:
+            fields.append((b"content-length", b"%d" % len(body)))
+        parts = [connection.head(status, fields)]
+        if body and self._method != "HEAD" and status not in BODYLESS_STATUS:
+            parts.append(connection.encode(h11.Data(data=body)))
+        parts.append(connection.encode(h11.EndOfMessage()))
+        self._finish(connection, b"".join(parts))
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed response."""
+        if self._connection is None:
+            return
+        self._bodyless = self._method == "HEAD" or status in BODYLESS_STATUS
+        self._connection.write(self._connection.head(status, headers))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body of a streamed response."""
+        if self._connection is None or self._bodyless or not data:
+            return
+        self._connection.write(self._connection.encode(h11.Data(data=data)))
+
+    def end(self) -> None:
+        """End a streamed response; break the connection where the body is too short."""
+        connection = self._connection
+        if connection is None:
+            return
+        try:
+            tail = connection.encode(h11.EndOfMessage())
+        except h11.LocalProtocolError:
+            self.abort()
+            return
+        self._finish(connection, tail)
+
+    def abort(self) -> None:
+        """Break the connection so that the caller sees that the response is incomplete."""
+        if self._connection is not None:
+            self._connection.abort()
+
+    def _finish(self, connection: ServerConnection, data: bytes) -> None:
+        self._connection = None
+        connection.write(data)
+        connection.finish_cycle()
+
+    def cancel(self) -> None:
+        """Tell the handler that the caller has gone."""
+        self._connection = None
+        if self.on_cancel is not None:
+            self.on_cancel()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection from a caller."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._request: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._exchange: Exchange | None = None
+        self._eof = False
+        self.congested = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being received or answered."""
+        return self._exchange is None and self._request is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._server.connections.discard(self)
+        if self._exchange is not None:
+            exchange, self._exchange = self._exchange, None
+            exchange.cancel()
+
+    def pause_writing(self) -> None:
+        self.congested = True
+
+    def resume_writing(self) -> None:
+        self.congested = False
+        if self._exchange is not None and self._exchange.on_drained is not None:
+            self._exchange.on_drained()
+
+    def data_received(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+        if self._exchange is None:
+            self._advance()
+        elif self._transport and len(self._h11.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        self._eof = True
+        self._h11.receive_data(b"")
+        self._advance()
+        # A caller may close its sending side and still wait for responses.
+        return self._exchange is not None
+
+    def _advance(self) -> None:
+        while self._exchange is None and self._transport is not None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self.reject(error.error_status_hint, str(error))
+                return
+            if event is h11.NEED_DATA:
+                if self._h11.they_are_waiting_for_100_continue:
+                    continue_head = h11.InformationalResponse(status_code=100, headers=[])
+                    self.write(self.encode(continue_head))
+                return
+            if event is h11.PAUSED:
+                return
+            if not self._handle(event):
+                return
+
+    def _handle(self, event: object) -> bool:
+        if isinstance(event, h11.Request):
+            return self._begin(event)
+        if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > MAX_BODY_BYTES:
+                self.reject(413, f"the body is larger than {MAX_BODY_BYTES} bytes; send less")
+                return False
+            self._body.append(bytes(event.data))
+            return True
+        if isinstance(event, h11.EndOfMessage):
+            self._dispatch()
+            return True
+        self.close()
+        return False
+
+    def _begin(self, event: h11.Request) -> bool:
+        if sum(len(key) + len(value) for key, value in event.headers) > MAX_HEAD_BYTES:
+            # h11 limits a head only while it is incomplete.
+            self.reject(431, f"the head is larger than {MAX_HEAD_BYTES} bytes; send less")
+            return False
+        names = {key for key, _ in event.headers}
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Two framings of one body let a request hide behind another.
+            self.reject(400, "send either Content-Length or Transfer-Encoding, not both")
+            return False
+        self._request = event
+        self._body = []
+        self._body_bytes = 0
+        return True
+
+    def _dispatch(self) -> None:
+        event = self._request
+        assert event is not None
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        self._request = None
+        self._body = []
+        request = HttpRequest(event.method.decode(), event.target, list(event.headers), body)
+        exchange = Exchange(self, request)
+        self._exchange = exchange
+        self._server.handler(exchange)
+
+    def head(self, status: int, headers: Headers) -> bytes:
+        """Encode the head of a response."""
+        if self._server.draining:
+            headers = [*headers, (b"connection", b"close")]
+        return self.encode(h11.Response(status_code=status, headers=headers))
+
+    def encode(self, event: h11.Event) -> bytes:
+        """Encode one event; raise h11.LocalProtocolError where it does not fit the framing."""
+        return self._h11.send(event) or b""
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller; data for a lost connection is dropped."""
+        if self._transport is not None and data:
+            self._transport.write(data)
+
+    def finish_cycle(self) -> None:
+        """Make the connection ready for the next request, or close it."""
+        self._exchange = None
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        if self._transport is None:
+            return
+        if self._eof and not self._h11.trailing_data[0]:
+            self.close()
+            return
+        if not self._eof:
+            self._transport.resume_reading()
+        if self._h11.trailing_data[0]:
+            # A fresh turn of the loop bounds the stack depth of pipelined requests.
+            asyncio.get_running_loop().call_soon(self._advance)
+
+    def reject(self, status: int, detail: str) -> None:
+        """Answer a request that cannot be understood and close the connection."""
+        body = orjson.dumps({"reason": "bad-request", "detail": detail})
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+            (b"pollenglade-outcome", b"not-run"),
+            (b"pollenglade-reason", b"bad-request"),
+            (b"connection", b"close"),
+        ]
+        try:
+            head = self.encode(h11.Response(status_code=status, headers=headers))
+            data = self.encode(h11.Data(data=body))
+            self.write(head + data + self.encode(h11.EndOfMessage()))
+        except h11.LocalProtocolError:
+            self.abort()
+            return
+        self.close()
+
+    def close(self) -> None:
+        """Close after pending data has been written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close without writing pending data."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class HttpServer:
+    """Listens on one address and hands requests to a handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.connections: set[ServerConnection] = set()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port; port 0 lets the operating system choose."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def drain(self) -> None:
+        """Let each connection close after its next response."""
+        self.draining = True
+
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections after pending data has been written."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.close()
+        await asyncio.sleep(0)
+
+
+def async_handler(handle: AsyncHandler) -> Handler:
+    """Adapt a coroutine function to a handler; each request runs in a task of its own."""
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def run(exchange: Exchange) -> None:
+        response = await handle(exchange.request)
+        exchange.respond(response.status, response.headers, response.body)
+
+    def handler(exchange: Exchange) -> None:
+        task = asyncio.get_running_loop().create_task(run(exchange))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        task.add_done_callback(lambda done: _abort_on_error(done, exchange))
+        exchange.on_cancel = lambda: _cancel(task)
+
+    return handler
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+
+
+def _abort_on_error(task: asyncio.Task[None], exchange: Exchange) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": "request handler failed", "exception": task.exception()}
+        )
+        exchange.abort()
+
+
+def without(headers: Headers, names: Iterable[bytes]) -> Headers:
+    """Return the fields whose lower-case name is not listed."""
+    dropped = frozenset(names)
+    return [item for item in headers if item[0] not in dropped]
