Add the configuration store on the platform

Cause: an accepted change must be committed exactly once, while operators make changes concurrently and answers of the platform can be lost.

Ruled out: one row for each profile and key (a node would have to list them all each second, and a service could be claimed by two profiles at once).

--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration_head.py
@@ -0,0 +1,110 @@
+"""The value of the platform row `configuration/head`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic import Field
+from pydantic import ValidationError
+
+from .configuration import Change
+from .configuration import Configuration
+from .configuration_history import SNAPSHOT_INTERVAL
+from .configuration_wire import change_from_wire
+from .configuration_wire import change_to_wire
+from .finding import Finding
+from .finding import Findings
+
+HEAD_ROW = "configuration/head"
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Where the snapshot is and which changes follow it.
+
+    `earlier_operations` holds the versions of the changes of the interval before the snapshot by
+    operation id. A committer whose answer was lost finds its change there after a new snapshot.
+    """
+
+    snapshot_version: int = 0
+    snapshot_name: str = ""
+    changes: tuple[Change, ...] = ()
+    earlier_operations: Mapping[str, int] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The configuration version that the head describes."""
+        return self.snapshot_version + len(self.changes)
+
+    @property
+    def needs_snapshot(self) -> bool:
+        """Whether the next change should follow a new snapshot."""
+        return len(self.changes) >= SNAPSHOT_INTERVAL
+
+    def operations(self) -> dict[str, int]:
+        """Return versions by operation id for the changes that the head knows."""
+        versions = dict(self.earlier_operations)
+        for version, change in enumerate(self.changes, self.snapshot_version + 1):
+            versions[change.stamp.operation_id] = version
+        return versions
+
+    def extended(self, change: Change) -> Head:
+        """Return the head with one more change."""
+        return replace(self, changes=(*self.changes, change))
+
+    def with_snapshot(self, configuration: Configuration) -> Head:
+        """Return the head whose snapshot is the configuration that it describes."""
+        first = self.version - SNAPSHOT_INTERVAL
+        recent = {name: v for name, v in self.operations().items() if v > first}
+        return Head(self.version, snapshot_name(configuration), (), recent)
+
+
+def snapshot_name(configuration: Configuration) -> str:
+    """Return the object name of a snapshot; equal names have equal content."""
+    return f"configuration/snapshot-{configuration.version}-{configuration.digest()}"
+
+
+class _Wire(BaseModel):
+    snapshot_version: int = Field(ge=0)
+    snapshot_name: str
+    changes: list[Any]
+    earlier_operations: dict[str, int]
+
+
+def head_to_wire(head: Head) -> dict[str, Any]:
+    """Return the head as values that JSON can hold."""
+    return {
+        "snapshot_version": head.snapshot_version,
+        "snapshot_name": head.snapshot_name,
+        "changes": [change_to_wire(change) for change in head.changes],
+        "earlier_operations": dict(head.earlier_operations),
+    }
+
+
+def head_from_wire(wire: object) -> Head | Findings:
+    """Return the head for decoded JSON, or all findings."""
+    try:
+        model = _Wire.model_validate(wire)
+    except ValidationError as error:
+        details = error.errors(include_url=False, include_input=False)
+        return Findings(
+            tuple(Finding(".".join(map(str, detail["loc"])), detail["msg"]) for detail in details)
+        )
+    changes: list[Change] = []
+    findings: list[Finding] = []
+    for index, item in enumerate(model.changes):
+        change = change_from_wire(item)
+        if isinstance(change, Findings):
+            findings += [Finding(f"changes[{index}].{f.place}", f.text) for f in change.items]
+        else:
+            changes.append(change)
+    if findings:
+        return Findings(tuple(findings))
+    return Head(
+        model.snapshot_version, model.snapshot_name, tuple(changes), model.earlier_operations
+    )
