Add both deployments, open-loop arrivals and the measures of a run

Cause: the guarantees and measures of the design page need a load that is the same for every version and figures that are computed in one place. Ruled out: goodput per window as an absolute rate for the recovery time, because Poisson noise of a window is larger than the 5 % in question; and scaling the number of endpoints, because routing would lose its choices.

--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/deployments.py
@@ -0,0 +1,157 @@
+"""The two deployments of section 1 of the design page."""
+
+from __future__ import annotations
+
+from pollenglade_core.importance import Importance
+
+from .workload import Deployment
+from .workload import Latency
+from .workload import Route
+from .workload import Service
+from .workload import organisations
+
+FAST = Latency(0.010)
+MEDIUM = Latency(0.020)
+SLOW = Latency(0.040, sigma=0.6)
+
+RESIDENCIES = Deployment(
+    name="residencies",
+    zones=("z1", "z2", "z3", "z4"),
+    services=(
+        Service("open-calls", endpoints=4, slots=100, connections=800),
+        Service("fees", endpoints=4, slots=100, connections=800),
+        Service("portfolios", endpoints=4, slots=100, connections=800),
+        Service("jury", endpoints=4, slots=10, connections=150),
+    ),
+    routes=(
+        Route(
+            "browse", "open-calls", "GET", FAST, Importance.SHEDDABLE, calls=("thumbs",), share=50
+        ),
+        Route("thumbs", "portfolios", "GET", FAST, Importance.SHEDDABLE),
+        Route("apply", "open-calls", "GET", MEDIUM, calls=("quote",), share=20),
+        Route("quote", "fees", "GET", FAST, calls=("files",)),
+        Route("files", "portfolios", "GET", MEDIUM),
+        Route(
+            "review",
+            "portfolios",
+            "GET",
+            MEDIUM,
+            Importance.IMPORTANT,
+            calls=("score",),
+            share=4,
+        ),
+        Route("score", "jury", "GET", SLOW, Importance.IMPORTANT, calls=("call-rules",)),
+        Route("call-rules", "open-calls", "GET", FAST, Importance.IMPORTANT, calls=("fee-rules",)),
+        Route("fee-rules", "fees", "GET", FAST, Importance.IMPORTANT),
+        Route(
+            "payment",
+            "fees",
+            "POST",
+            MEDIUM,
+            Importance.CRITICAL,
+            idempotent=False,
+            calls=("files",),
+            share=4,
+            deadline_ms=5_000,
+        ),
+        Route(
+            "placement",
+            "open-calls",
+            "POST",
+            MEDIUM,
+            Importance.CRITICAL,
+            idempotent=False,
+            calls=("confirm",),
+            share=1,
+            deadline_ms=5_000,
+        ),
+        Route(
+            "confirm",
+            "fees",
+            "POST",
+            MEDIUM,
+            Importance.CRITICAL,
+            idempotent=False,
+            calls=("files",),
+            deadline_ms=5_000,
+        ),
+    ),
+    organisations=organisations(
+        {
+            "thornbury": 30,
+            "vale": 25,
+            "northlight": 15,
+            "harbour": 5,
+            "kiln": 3,
+            "linden": 3,
+            "quarry": 2,
+            "saltworks": 2,
+        },
+        total_per_s=4_000,
+    ),
+)
+"""Workload A: the residency portal; goodput and recovery time matter most."""
+
+SALAIRES = Deployment(
+    name="salaires",
+    zones=("z1", "z2", "z3"),
+    services=(
+        Service("archive", endpoints=4, slots=70, connections=500),
+        Service("intake", endpoints=3, slots=75, connections=550),
+        Service("export", endpoints=3, slots=75, connections=550),
+        Service("medians", endpoints=3, slots=30, connections=300),
+    ),
+    routes=(
+        Route(
+            "declaration",
+            "intake",
+            "POST",
+            MEDIUM,
+            Importance.CRITICAL,
+            idempotent=False,
+            calls=("file",),
+            share=10,
+            deadline_ms=5_000,
+        ),
+        Route(
+            "file",
+            "archive",
+            "POST",
+            FAST,
+            Importance.CRITICAL,
+            idempotent=False,
+            deadline_ms=5_000,
+        ),
+        Route("status", "intake", "GET", FAST, calls=("lookup",), share=40),
+        Route("lookup", "archive", "GET", FAST),
+        Route("table", "export", "GET", MEDIUM, Importance.SHEDDABLE, calls=("median",), share=10),
+        Route("median", "medians", "GET", MEDIUM, calls=("sample",)),
+        Route("sample", "archive", "GET", FAST, calls=("revision",)),
+        Route("revision", "intake", "GET", FAST),
+        Route(
+            "compare",
+            "medians",
+            "GET",
+            MEDIUM,
+            Importance.IMPORTANT,
+            calls=("lookup",),
+            share=6,
+        ),
+    ),
+    organisations=organisations(
+        {
+            "romandie": 30,
+            "zurich": 25,
+            "ticino": 12,
+            "valais": 5,
+            "jura": 3,
+            "uri": 2,
+            "glarus": 2,
+            "zug": 1,
+        },
+        total_per_s=2_200,
+    ),
+)
+"""Workload B: the wage returns; the worst-served organisation and wrongful refusals matter most."""
+
+DEPLOYMENTS_BY_NAME = {deployment.name: deployment for deployment in (RESIDENCIES, SALAIRES)}
--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/records.py
@@ -0,0 +1,64 @@
+"""What one root request and one execution at a target left behind."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+REQUEST_HEADER = "Emulator-Request"
+"""Header with the id of the root request; targets copy it to nested calls and echo it."""
+
+
+@dataclass(frozen=True)
+class RequestRecord:
+    """Result of one root request; times in seconds since the start of the load.
+
+    `status` is 0 where no whole response arrived. `wrong` means that the body belonged to another
+    request or that the response contradicted itself.
+    """
+
+    request_id: str
+    organisation: str
+    route: str
+    scheduled_s: float
+    finished_s: float
+    status: int
+    outcome: str = ""
+    reason: str = ""
+    wrong: bool = False
+    attempts: int = 1
+    deadline_s: float = 2.0
+
+    @property
+    def latency_s(self) -> float:
+        """Time from the scheduled start, so that a late caller does not hide a delay."""
+        return self.finished_s - self.scheduled_s
+
+    @property
+    def good(self) -> bool:
+        """Whether the request was answered in full, correctly and in time."""
+        return 200 <= self.status < 300 and not self.wrong and self.latency_s <= self.deadline_s
+
+    @property
+    def refused(self) -> bool:
+        """Whether the caller was told that the request did not run."""
+        return self.outcome == "not-run"
+
+
+@dataclass(frozen=True)
+class Execution:
+    """One entry of the run log of a target; times in seconds on its monotonic clock.
+
+    `end_s` is None while the call runs and where the target ended it before its end.
+    """
+
+    request_id: str
+    service: str
+    call_id: str
+    idempotency_key: str
+    organisation: str
+    method: str
+    path: str
+    start_s: float
+    end_s: float | None = None
+    headers: list[tuple[str, str]] = field(default_factory=list)
--- /dev/null
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_workload.py
@@ -0,0 +1,75 @@
+"""Guards against deployments that are overloaded by design, and against biased arrivals."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.call import MAX_DEPTH
+from pollenglade_emulator.arrivals import Surge
+from pollenglade_emulator.arrivals import arrivals
+from pollenglade_emulator.arrivals import noisy_neighbour
+from pollenglade_emulator.deployments import DEPLOYMENTS_BY_NAME
+from pollenglade_emulator.deployments import RESIDENCIES
+from pollenglade_emulator.workload import Deployment
+
+DEPLOYMENTS = st.sampled_from(sorted(DEPLOYMENTS_BY_NAME.values(), key=lambda entry: entry.name))
+
+
+class DeploymentTest(unittest.TestCase):
+    @given(DEPLOYMENTS, st.floats(0.005, 1.0))
+    def test_calm_load_fits(self, deployment: Deployment, factor: float) -> None:
+        """A baseline above capacity would make every refusal look justified."""
+        scaled = deployment.scaled(factor)
+        for service in scaled.services:
+            capacity = service.endpoints * service.slots
+            self.assertLess(0.0, scaled.slots_in_use(service.name))
+            self.assertLessEqual(scaled.slots_in_use(service.name), 0.8 * capacity, service.name)
+
+    @given(DEPLOYMENTS)
+    def test_call_graph(self, deployment: Deployment) -> None:
+        """A chain of depth 1 would hide the cost of retries at each hop."""
+        depths = [deployment.depth(route) for route in deployment.routes if route.share]
+        self.assertGreaterEqual(max(depths), 4)
+        self.assertLessEqual(max(depths), MAX_DEPTH)
+        self.assertEqual(len(deployment.routes), len(deployment.routes_by_name))
+        self.assertTrue(
+            all(route.service in deployment.services_by_name for route in deployment.routes)
+        )
+
+
+class ArrivalsTest(unittest.TestCase):
+    @given(
+        DEPLOYMENTS, st.integers(0, 2**32), st.lists(st.tuples(st.floats(0, 4), st.floats(0, 4)))
+    )
+    def test_order_and_seed(
+        self, deployment: Deployment, seed: int, spans: list[tuple[float, float]]
+    ) -> None:
+        """Two runs with one seed must offer the same load, or baselines cannot be compared."""
+        surges = [Surge(min(span), max(span), 2.0) for span in spans[:3]]
+        scaled = deployment.scaled(0.01)
+        first = list(arrivals(scaled, Random(seed), 3.0, surges))
+        self.assertEqual(first, list(arrivals(scaled, Random(seed), 3.0, surges)))
+        times = [arrival.at_s for arrival in first]
+        self.assertEqual(times, sorted(times))
+        self.assertTrue(all(0 <= at_s < 3.0 for at_s in times))
+        self.assertEqual([arrival.number for arrival in first], list(range(len(first))))
+
+    def test_noisy_neighbour_sends_eight_times_its_load(self) -> None:
+        """A surge that leaks into other organisations would blame the wrong one."""
+        scaled = RESIDENCIES.scaled(0.1)
+        noisy = scaled.organisations[3]
+        found = list(arrivals(scaled, Random(7), 40.0, [noisy_neighbour(noisy.id, 20.0, 40.0)]))
+        before = Counter(entry.organisation for entry in found if entry.at_s < 20)
+        during = Counter(entry.organisation for entry in found if entry.at_s >= 20)
+        for organisation in scaled.organisations:
+            factor = 8 if organisation is noisy else 1
+            expected = organisation.offered_per_s * 20
+            # Six standard deviations of a Poisson count.
+            self.assertAlmostEqual(before[organisation.id], expected, delta=6 * expected**0.5)
+            expected *= factor
+            self.assertAlmostEqual(during[organisation.id], expected, delta=6 * expected**0.5)
