Add a TCP relay that can cut, silence or delay open connections

Cause: partitions and silent connections have to be brought about on loopback, and open connections must be able to go silent while new ones work. Change: a relay whose conduct applies to all connections or only to open ones; a silent connection holds bytes, ends and resets until it passes again. Ruled out: discarding bytes in silence, because TCP sends them again after a partition and the stream would be corrupt; closing the listener on a cut, because a refused connection tells a peer that the process has ended.

--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/relay.py
@@ -0,0 +1,165 @@
+"""A TCP relay whose connections can be closed, silenced or delayed while they are open."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+
+CHUNK_BYTES = 65_536
+QUEUE_CHUNKS = 64
+
+Chunks = asyncio.Queue[tuple[float, bytes]]
+
+
+class Mode(StrEnum):
+    """What happens to the bytes of a connection."""
+
+    PASS = "pass"
+    CUT = "cut"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class Conduct:
+    """Mode of a connection; `delay_s` holds each chunk for that many seconds."""
+
+    mode: Mode = Mode.PASS
+    delay_s: float = 0.0
+
+
+class Connection:
+    """Two directions between one client and the upstream.
+
+    A silent connection stays open and holds its bytes and its end of stream. They flow again when
+    it passes, as after a partition, where TCP sends again what was lost.
+    """
+
+    def __init__(self, conduct: Conduct) -> None:
+        self._flowing = asyncio.Event()
+        self._writers: list[asyncio.StreamWriter] = []
+        self._delay_s = 0.0
+        self.apply(conduct)
+
+    def apply(self, conduct: Conduct) -> None:
+        """Change the conduct of the open connection."""
+        self._delay_s = conduct.delay_s
+        if conduct.mode is Mode.PASS:
+            self._flowing.set()
+        else:
+            self._flowing.clear()
+
+    def abort(self) -> None:
+        """Reset both sides at once."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str, port: int
+    ) -> None:
+        """Relay until both directions have ended or one side was reset."""
+        self._writers.append(writer)
+        try:
+            await self._flowing.wait()
+            upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
+            self._writers.append(upstream_writer)
+            async with asyncio.TaskGroup() as group:
+                self._pump(group, reader, upstream_writer)
+                self._pump(group, upstream_reader, writer)
+        except* OSError:
+            pass
+        finally:
+            self.abort()
+
+    def _pump(
+        self,
+        group: asyncio.TaskGroup,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        # Reading and writing are separate, so that a delay adds latency without limiting the rate.
+        queue: Chunks = asyncio.Queue(QUEUE_CHUNKS)
+        group.create_task(self._read(reader, queue))
+        group.create_task(self._write(writer, queue))
+
+    async def _read(self, reader: asyncio.StreamReader, queue: Chunks) -> None:
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(CHUNK_BYTES)
+            except OSError:
+                # A partition holds a reset as it holds data.
+                await self._flowing.wait()
+                raise
+            await queue.put((asyncio.get_running_loop().time() + self._delay_s, data))
+
+    async def _write(self, writer: asyncio.StreamWriter, queue: Chunks) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await queue.get()
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            await self._flowing.wait()
+            if writer.is_closing():
+                raise ConnectionResetError
+            if not data:
+                writer.write_eof()
+                return
+            writer.write(data)
+            await writer.drain()
+
+
+class Relay:
+    """Listens on one address and relays each connection to one upstream address."""
+
+    def __init__(self, upstream_host: str, upstream_port: int) -> None:
+        self._upstream = (upstream_host, upstream_port)
+        self._conduct = Conduct()
+        self._tasks_by_connection: dict[Connection, asyncio.Task[None]] = {}
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Port on which the relay listens."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self._tasks_by_connection)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; port 0 takes a free one."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+
+    async def close(self) -> None:
+        """Stop listening and reset every connection."""
+        assert self._server is not None
+        self._server.close()
+        tasks = list(self._tasks_by_connection.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def apply(self, conduct: Conduct, only_open: bool = False) -> None:
+        """Change all connections; with `only_open` later connections keep the former conduct."""
+        if not only_open:
+            self._conduct = conduct
+        for connection, task in self._tasks_by_connection.items():
+            connection.apply(conduct)
+            if conduct.mode is Mode.CUT:
+                task.cancel()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # The listener stays open in every mode: a refused connection would tell a peer that the
+        # process has ended, which a partition does not.
+        if self._conduct.mode is Mode.CUT:
+            writer.transport.abort()
+            return
+        connection = Connection(self._conduct)
+        task = asyncio.ensure_future(connection.run(reader, writer, *self._upstream))
+        self._tasks_by_connection[connection] = task
+        try:
+            await asyncio.wait([task])
+        finally:
+            del self._tasks_by_connection[connection]
