--- a/packages/pollenglade-emulator/src/pollenglade_emulator/records.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/records.py
@@ -5,9 +5,15 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-REQUEST_HEADER = "Emulator-Request"
+REQUEST_HEADER = b"emulator-request"
 """Header with the id of the root request; targets copy it to nested calls and echo it."""
 
+ORGANISATION_HEADER = b"emulator-organisation"
+"""Header with the organisation that the caller acts for, to compare with the key that was sent."""
+
+WORK_HEADER = b"emulator-work-ms"
+"""Header with a fixed service time in ms; such a call makes no nested calls."""
+
 
 @dataclass(frozen=True)
 class RequestRecord:
@@ -49,7 +55,8 @@
 class Execution:
     """One entry of the run log of a target; times in seconds on its monotonic clock.
 
-    `end_s` is None while the call runs and where the target ended it before its end.
+    `end_s` is None while the call runs and where the target ended before it. `result` is
+    `done`, `failed` (a nested call failed), `silent` or `cancelled`.
     """
 
     request_id: str
@@ -61,4 +68,5 @@
     path: str
     start_s: float
     end_s: float | None = None
+    result: str = ""
     headers: list[tuple[str, str]] = field(default_factory=list)
--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/target.py
@@ -0,0 +1,228 @@
+"""A target: executes calls in a limited number of slots and can misbehave on request."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Mapping
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from random import Random
+
+import orjson
+
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_message import json_response
+
+from .announcer import TargetState
+from .records import ORGANISATION_HEADER
+from .records import REQUEST_HEADER
+from .records import WORK_HEADER
+from .run_log import RunLog
+from .run_log import text
+from .workload import Latency
+from .workload import Route
+
+POISON_PATH = "/_poison"
+SILENT_PATH = "/_silent"
+POISON_EXIT_CODE = 70
+HEALTHY_QUEUE = 2
+"""Waiting calls per slot above which an honest target reports itself unhealthy."""
+
+CALL_HEADER = b"pollenglade-call"
+IDEMPOTENCY_HEADER = b"idempotency-key"
+COPIED_HEADERS = (CALL_HEADER, REQUEST_HEADER, ORGANISATION_HEADER)
+NOT_RUN: Headers = [(b"pollenglade-not-run", b"true"), (b"retry-after", b"1")]
+
+
+@dataclass(frozen=True)
+class TargetConduct:
+    """What a running target can be told to do; changed by `PUT /_conduct`.
+
+    `health` is the status that `/health` reports and `load` the value that `/load` reports, in
+    place of the true ones. `shed` refuses every call as not run.
+    """
+
+    latency_factor: float = 1.0
+    shed: bool = False
+    silent: bool = False
+    health: int | None = None
+    load: float | None = None
+
+
+@dataclass(frozen=True)
+class TargetSettings:
+    """Fixed properties of a target; times in seconds."""
+
+    service: str
+    slots: int = 10
+    latency: Latency = field(default_factory=lambda: Latency(0.01))
+    start_s: float = 0.0
+    warm_s: float = 0.0
+    cold_factor: float = 5.0
+    node: Address | None = None
+
+
+class Target:
+    """Executes calls; calls above the slots wait inside, so that latency grows with load."""
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        routes_by_name: Mapping[str, Route],
+        log: RunLog,
+        source: Random,
+    ) -> None:
+        self._settings = settings
+        self._routes = routes_by_name
+        self._log = log
+        self._source = source
+        self._slots = asyncio.Semaphore(settings.slots)
+        self._client = HttpClient()
+        self._started_s = time.monotonic()
+        self.conduct = TargetConduct()
+        self.state = TargetState.STARTING if settings.start_s > 0 else TargetState.READY
+        self.running = 0
+        self.waiting = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        path = text(request.target).partition("?")[0]
+        if path == "/health":
+            return json_response(self._health(), {"state": self.state})
+        if path == "/load":
+            return json_response(200, {"load": self._load(), "waiting": self.waiting})
+        if path == "/_log":
+            since = text(request.target).partition("since=")[2]
+            entries = self._log.entries(int(since) if since.isdigit() else 0)
+            return json_response(200, {"entries": entries, "state": self.state})
+        if path == "/_conduct":
+            return self._change_conduct(request)
+        return await self._call(request, path)
+
+    async def close(self) -> None:
+        """Close the connections to the node."""
+        await self._client.close()
+
+    def _health(self) -> int:
+        if self.conduct.health is not None:
+            return self.conduct.health
+        busy = self.waiting > HEALTHY_QUEUE * self._settings.slots
+        return 503 if busy or self.state is not TargetState.READY else 200
+
+    def _load(self) -> float:
+        if self.conduct.load is not None:
+            return self.conduct.load
+        return (self.running + self.waiting) / self._settings.slots
+
+    def _change_conduct(self, request: HttpRequest) -> HttpResponse:
+        if request.method == "PUT":
+            try:
+                self.conduct = replace(self.conduct, **orjson.loads(request.body))
+            except (TypeError, ValueError) as error:
+                return json_response(400, {"detail": f"not a conduct: {error}"})
+        return json_response(200, asdict(self.conduct))
+
+    async def _call(self, request: HttpRequest, path: str) -> HttpResponse:
+        if self.conduct.shed or self.state is TargetState.STARTING:
+            return json_response(503, {"detail": "shed"}, NOT_RUN)
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        index = self._log.start(request, time.monotonic())
+        result = "cancelled"
+        try:
+            response, result = await self._execute(request, path, index)
+            return response
+        finally:
+            self.running -= 1
+            self._slots.release()
+            if result != "silent":
+                self._log.finish(index, time.monotonic(), result)
+
+    async def _execute(
+        self, request: HttpRequest, path: str, index: int
+    ) -> tuple[HttpResponse, str]:
+        if path.startswith(POISON_PATH):
+            os._exit(POISON_EXIT_CODE)
+        if path.startswith(SILENT_PATH) or self.conduct.silent:
+            # The slot stays occupied, as in a target that hangs; a cancel by the caller frees it.
+            self._log.finish(index, time.monotonic(), "silent")
+            self.running -= 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.running += 1
+        route = self._routes.get(path.split("/")[1])
+        fixed_ms = request.header(WORK_HEADER)
+        await asyncio.sleep(self._work_s(route, fixed_ms))
+        if route is not None and fixed_ms is None:
+            for position, name in enumerate(route.calls):
+                failure = await self._nested(self._routes[name], request, position)
+                if failure is not None:
+                    return failure, "failed"
+        return self._answer(request), "done"
+
+    def _work_s(self, route: Route | None, fixed_ms: bytes | None) -> float:
+        if fixed_ms is not None:
+            return float(fixed_ms) / 1_000
+        latency = route.latency if route is not None else self._settings.latency
+        return latency.sample(self._source) * self.conduct.latency_factor * self._cold_factor()
+
+    def _cold_factor(self) -> float:
+        """Factor that falls from `cold_factor` to 1 over the time after the start."""
+        settings = self._settings
+        warm_for_s = time.monotonic() - self._started_s - settings.start_s
+        if warm_for_s >= settings.warm_s:
+            return 1.0
+        return 1.0 + (settings.cold_factor - 1.0) * (1.0 - warm_for_s / settings.warm_s)
+
+    async def _nested(
+        self, route: Route, request: HttpRequest, position: int
+    ) -> HttpResponse | None:
+        """Make one nested call; return the response for a call that failed, else None."""
+        if self._settings.node is None:
+            return json_response(502, {"detail": "the target has no node for nested calls"})
+        number = text(request.header(REQUEST_HEADER)) or "0"
+        headers = [
+            (name, value) for name in COPIED_HEADERS if (value := request.header(name)) is not None
+        ]
+        if not route.idempotent:
+            key = request.header(IDEMPOTENCY_HEADER) or number.encode()
+            headers.append((IDEMPOTENCY_HEADER, b"%s-%d-%s" % (key, position, route.name.encode())))
+        response = await self._client.request(
+            self._settings.node,
+            route.method,
+            route.path(number),
+            headers,
+            timeout_s=route.deadline_ms / 1_000,
+        )
+        if isinstance(response, HttpFailure):
+            return json_response(502, {"detail": f"{route.name}: {response.reason}"})
+        if response.status < 300:
+            return None
+        reason = text(response.header(b"pollenglade-reason"))
+        retry_after = response.header(b"retry-after")
+        fields = [(b"retry-after", retry_after)] if retry_after is not None else []
+        detail = f"{route.name}: {response.status} {reason}"
+        return json_response(502, {"detail": detail}, fields)
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
+        identity = request.header(REQUEST_HEADER) or b""
+        document = {
+            "request": text(identity),
+            "service": self._settings.service,
+            "path": text(request.target),
+        }
+        return json_response(200, document, [(REQUEST_HEADER, identity)])
