--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -0,0 +1,260 @@
+"""Starts and ends processes of a test deployment; ends only what it started, by pid."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import os
+import signal
+import sys
+from collections import deque
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from types import TracebackType
+
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import HttpFailure
+
+from .ports import LOOPBACK
+from .ports import PortPool
+
+READY_TIMEOUT_S = 20.0
+READY_POLL_S = 0.05
+STOP_TIMEOUT_S = 40.0
+"""Time for a graceful stop; the drain limit of a node is 30 s."""
+
+KEPT_LINES = 2_000
+MAX_LINE_BYTES = 1024 * 1024
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None) if sys.platform == "linux" else None
+
+
+def _end_with_parent() -> None:
+    # A test runner that is killed at its time limit must not leave processes behind.
+    if _libc is not None:
+        _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class ProcessError(Exception):
+    """A process did not become ready or did not end as it should."""
+
+
+class ManagedProcess:
+    """One child process with the last lines of its standard error."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self._process = process
+        self._lines: deque[str] = deque(maxlen=KEPT_LINES)
+        self._reader = asyncio.get_running_loop().create_task(self._read())
+        self.killed = False
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for a signal; None while the process runs."""
+        return self._process.returncode
+
+    @property
+    def output(self) -> str:
+        """Last lines of standard output and standard error."""
+        return "\n".join(self._lines)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the end and return the exit code."""
+        code = await self._process.wait()
+        await self._reader
+        return code
+
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to end; kill it after the timeout. Return the exit code."""
+        self.send(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            self.killed = True
+            self.send(signal.SIGKILL)
+            return await self._process.wait()
+        finally:
+            # A paused process handles no signal.
+            self.send(signal.SIGCONT)
+            await self._reader
+
+    async def _read(self) -> None:
+        assert self._process.stdout is not None
+        while line := await self._process.stdout.readline():
+            self._lines.append(line.decode(errors="replace").rstrip())
+
+
+@dataclass(frozen=True)
+class NodeProcess:
+    """A node with its addresses."""
+
+    process: ManagedProcess
+    name: str
+    zone: str
+    caller: Address
+    link: Address
+    control: Address
+
+
+@dataclass(frozen=True)
+class TargetProcess:
+    """A target with its address."""
+
+    process: ManagedProcess
+    service: str
+    address: Address
+
+
+class Processes:
+    """All processes of one test deployment, as an asynchronous context manager."""
+
+    def __init__(self) -> None:
+        self._ports = PortPool()
+        self._client = HttpClient()
+        self.by_name: dict[str, ManagedProcess] = {}
+
+    async def __aenter__(self) -> Processes:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        # After a failure the processes are killed at once: the cause is known, and a graceful
+        # stop of a broken deployment can take as long as its drain limit.
+        await self.stop_all(0.5 if kind is not None else STOP_TIMEOUT_S)
+        await self._client.close()
+
+    def free_address(self) -> Address:
+        """Return a loopback address that nothing listens on."""
+        return Address(LOOPBACK, self._ports.take())
+
+    async def start(
+        self, name: str, command: Sequence[str], environment: Mapping[str, str] | None = None
+    ) -> ManagedProcess:
+        """Start `python <command>`; the name must be new."""
+        if name in self.by_name and self.by_name[name].exit_code is None:
+            raise ProcessError(f"{name} runs already; stop it first")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            limit=MAX_LINE_BYTES,
+            env={**os.environ, **(environment or {})},
+            preexec_fn=_end_with_parent,
+        )
+        managed = ManagedProcess(name, process)
+        self.by_name[name] = managed
+        return managed
+
+    async def start_platform(self) -> Address:
+        """Start the platform stand-in and return its address."""
+        address = self.free_address()
+        command = ["-m", "pollenglade_emulator", "platform", "--listen", str(address)]
+        process = await self.start("platform", command)
+        await self.wait_ready(process, address, "/table?prefix=none")
+        return address
+
+    async def start_node(
+        self,
+        name: str,
+        zone: str,
+        platform: Address,
+        region: str = "r1",
+        settings: Mapping[str, str] | None = None,
+    ) -> NodeProcess:
+        """Start a node and wait until it is healthy.
+
+        A node is ready only once it has a configuration; `wait_serving` waits for that.
+        """
+        caller, link, control = (self.free_address() for _ in range(3))
+        environment = {
+            "POLLENGLADE_NODE": name,
+            "POLLENGLADE_ZONE": zone,
+            "POLLENGLADE_REGION": region,
+            "POLLENGLADE_CALLER_ADDRESS": str(caller),
+            "POLLENGLADE_LINK_ADDRESS": str(link),
+            "POLLENGLADE_CONTROL_ADDRESS": str(control),
+            "POLLENGLADE_PLATFORM_URL": f"http://{platform}",
+            **(settings or {}),
+        }
+        process = await self.start(name, ["-m", "pollenglade_node.main"], environment)
+        await self.wait_ready(process, control, "/health")
+        return NodeProcess(process, name, zone, caller, link, control)
+
+    async def wait_serving(self, node: NodeProcess) -> None:
+        """Wait until a node has a configuration and serves calls."""
+        await self.wait_ready(node.process, node.control, "/ready")
+
+    async def start_target(
+        self,
+        name: str,
+        service: str,
+        node: NodeProcess | None = None,
+        options: Sequence[str] = (),
+    ) -> TargetProcess:
+        """Start a target stand-in and wait until it is ready."""
+        address = self.free_address()
+        command = ["-m", "pollenglade_emulator", "target", "--service", service]
+        command += ["--listen", str(address), *options]
+        if node is not None:
+            command += ["--node", str(node.caller), "--control", str(node.control)]
+        process = await self.start(name, command)
+        await self.wait_ready(process, address, "/health")
+        return TargetProcess(process, service, address)
+
+    async def wait_ready(
+        self,
+        process: ManagedProcess,
+        address: Address,
+        path: str,
+        timeout_s: float = READY_TIMEOUT_S,
+    ) -> None:
+        """Wait until `GET path` answers 200; raise ProcessError with the output otherwise."""
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + timeout_s
+        last = "no response"
+        while loop.time() < limit_s and process.exit_code is None:
+            response = await self._client.request(address, "GET", path, timeout_s=1.0)
+            if not isinstance(response, HttpFailure):
+                if response.status == 200:
+                    return
+                last = f"status {response.status}"
+            await asyncio.sleep(READY_POLL_S)
+        raise ProcessError(
+            f"{process.name} is not ready after {timeout_s} s at {address}{path} ({last}, "
+            f"exit code {process.exit_code}); its output:\n{process.output}"
+        )
+
+    async def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> dict[str, int]:
+        """Stop targets, then nodes, then the platform; return the exit codes by name."""
+        codes: dict[str, int] = {}
+        for stage in _stages(self.by_name):
+            results = await asyncio.gather(*(process.stop(timeout_s) for process in stage))
+            codes.update(zip((process.name for process in stage), results, strict=True))
+        return codes
+
+
+def _stages(by_name: Mapping[str, ManagedProcess]) -> list[list[ManagedProcess]]:
+    # The platform goes last, because nodes write to it while they leave.
+    first = [process for name, process in by_name.items() if name != "platform"]
+    last = [process for name, process in by_name.items() if name == "platform"]
+    return [first, last]
