--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -4,6 +4,8 @@
 
 import typer
 
+from . import cutting_proxy
+from . import target_standin
 from .platform_command import platform
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -15,6 +17,8 @@
 
 
 app.command()(platform)
+app.add_typer(target_standin.app)
+app.add_typer(cutting_proxy.app)
 
 if __name__ == "__main__":
     app()
