Give profiles zones with weights, and decide idempotency by the method where a rule is silent

Cause: shares of a rate must come from the configuration, not from the members that a node sees; and a rule for any method without `idempotent` made every GET non-idempotent. Change: table `zones` in profiles, required and with at least one weight above 0; `Profile.rule_for` decides idempotency by the method of the request. Measured: test_core.test_profile_file and test_core.test_configuration pass.

--- a/packages/pollenglade-core/src/pollenglade_core/profile.py
+++ b/packages/pollenglade-core/src/pollenglade_core/profile.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from fnmatch import fnmatchcase
 
 from .importance import Importance
@@ -31,12 +32,13 @@
     """How requests that match method and path are treated.
 
     `method` is an HTTP method or `*`; `path` is a shell-style pattern on the path at the target.
+    `idempotent` None means that the method of the request decides.
     """
 
     method: str = "*"
     path: str = "*"
     importance: Importance = Importance.NORMAL
-    idempotent: bool = True
+    idempotent: bool | None = None
     extra_attempts: int = 2
     deadline_ms: int = DEFAULT_DEADLINE_MS
 
@@ -47,16 +49,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Profile:
-    """A named set of contracts and rules, with the services that run under it."""
+    """A named set of contracts and rules, with the services that run under it.
+
+    `zones` gives each availability zone the weight of its share of every rate and burst. Zones
+    come from the profile and not from the live members, because zones that divide by different
+    views would together admit more than the total.
+    """
 
     name: str
     services: tuple[str, ...] = ()
     organisations_by_id: Mapping[str, OrganisationContract] = field(default_factory=dict)
     rules: tuple[RequestRule, ...] = ()
+    zones: Mapping[str, int] = field(default_factory=dict)
 
     def rule_for(self, method: str, path: str) -> RequestRule:
-        """Return the first rule that matches, or the default for the method."""
-        for rule in self.rules:
-            if rule.matches(method, path):
-                return rule
-        return RequestRule(method=method, idempotent=method in IDEMPOTENT_METHODS)
+        """Return the first rule that matches, with `idempotent` decided."""
+        rule = next((item for item in self.rules if item.matches(method, path)), RequestRule())
+        if rule.idempotent is not None:
+            return rule
+        return replace(rule, idempotent=method in IDEMPOTENT_METHODS)
--- a/packages/pollenglade-core/src/pollenglade_core/profile_file.py
+++ b/packages/pollenglade-core/src/pollenglade_core/profile_file.py
@@ -3,6 +3,10 @@
 name = "residencies"
 services = ["open-calls", "fees"]
 
+[zones]                     # weight of each availability zone's share of rate and burst
+zone-a = 1
+zone-b = 1
+
 [organisations.acme]
 rate_per_s = 200
 burst = 400
@@ -12,7 +16,7 @@
 method = "POST"             # optional, "*"
 path = "/applications/*"    # optional, "*"
 importance = "critical"     # sheddable, normal, important, critical; optional, "normal"
-idempotent = false          # optional; true for GET, HEAD, OPTIONS, PUT and DELETE
+idempotent = false          # optional; by the method of the request: GET, HEAD, OPTIONS, PUT, DELETE
 extra_attempts = 0          # optional, 2
 deadline_ms = 5000          # optional, 2000
 """
@@ -35,7 +39,6 @@
 from .finding import Findings
 from .importance import Importance
 from .profile import DEFAULT_DEADLINE_MS
-from .profile import IDEMPOTENT_METHODS
 from .profile import OrganisationContract
 from .profile import Profile
 from .profile import RequestRule
@@ -63,6 +66,7 @@
     "string_type": "must be text in quotation marks",
     "list_type": "must be a list in square brackets",
     "dict_type": "must be a table",
+    "too_short": "must not be empty; add an entry",
     "model_type": "must be a table",
     "model_attributes_type": "must be a table",
 }
@@ -94,6 +98,7 @@
 class _File(_Table):
     name: Name
     services: list[Name]
+    zones: Annotated[dict[Name, Annotated[int, Field(ge=0, le=1_000)]], Field(min_length=1)]
     organisations: dict[Name, _Organisation] = Field(default_factory=dict)
     rules: list[_Rule] = Field(default_factory=list)
 
@@ -115,7 +120,7 @@
 
 def profile_from_tables(tables: Mapping[str, Any]) -> Profile | Findings:
     """Return the profile for decoded tables, or all findings."""
-    findings = _duplicate_services(tables)
+    findings = [*_duplicate_services(tables), *_zones_without_weight(tables)]
     try:
         model = _File.model_validate(tables)
     except ValidationError as error:
@@ -132,18 +137,15 @@
         for name, table in model.organisations.items()
     }
     rules = tuple(_rule(table) for table in model.rules)
-    return Profile(model.name, tuple(model.services), contracts, rules)
+    return Profile(model.name, tuple(model.services), contracts, rules, model.zones)
 
 
 def _rule(table: _Rule) -> RequestRule:
-    idempotent = table.idempotent
-    if idempotent is None:
-        idempotent = table.method in IDEMPOTENT_METHODS
     return RequestRule(
         method=table.method,
         path=table.path,
         importance=Importance.parse(table.importance),
-        idempotent=idempotent,
+        idempotent=table.idempotent,
         extra_attempts=table.extra_attempts,
         deadline_ms=table.deadline_ms,
     )
@@ -161,6 +163,13 @@
     return findings
 
 
+def _zones_without_weight(tables: Mapping[str, Any]) -> list[Finding]:
+    zones = tables.get("zones")
+    if isinstance(zones, dict) and zones and all(weight == 0 for weight in zones.values()):
+        return [Finding("zones", "all weights are 0; give at least one zone a weight above 0")]
+    return []
+
+
 def _one(text: str) -> Findings:
     return Findings((Finding("", text),))
 
--- a/packages/pollenglade-core/tests/test_core/test_profile_file.py
+++ b/packages/pollenglade-core/tests/test_core/test_profile_file.py
@@ -17,6 +17,9 @@
 GOOD = b"""
 name = "residencies"
 services = ["open-calls", "fees"]
+[zones]
+zone-a = 1
+zone-b = 2
 [organisations.acme]
 rate_per_s = 200
 burst = 400
@@ -25,11 +28,13 @@
 path = "/applications/*"
 importance = "critical"
 extra_attempts = 0
+[[rules]]
+path = "/open/*"
 """
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
 FIELD_NAMES = st.sampled_from(
-    ["name", "services", "organisations", "rules", "rate_per_s", "burst", "method", "importance"]
+    ["name", "services", "zones", "organisations", "rules", "rate_per_s", "burst", "method", "importance"]
 )
 VALUES = st.recursive(
     SCALARS,
@@ -66,10 +71,12 @@
 
     def test_all_findings_come_together_with_their_place(self) -> None:
         """An operator who sees one problem at a time publishes late."""
-        bad = GOOD.replace(b"200", b"0").replace(b"critical", b"urgent").replace(b"fees", b"Fees")
+        bad = GOOD.replace(b"zone-b = 2", b"").replace(b"zone-a = 1", b"zone-a = 0")
+        bad = bad.replace(b"200", b"0").replace(b"critical", b"urgent").replace(b"fees", b"Fees")
         result = read_profile(bad.replace(b"burst", b"bursts"))
         assert isinstance(result, Findings)
         expected = {
+            "zones",
             "services[1]",
             "organisations.acme.rate_per_s",
             "organisations.acme.burst",
@@ -86,3 +93,6 @@
         self.assertEqual(Importance.CRITICAL, rule.importance)
         self.assertEqual((False, 0), (rule.idempotent, rule.extra_attempts))
         self.assertEqual(400, profile.organisations_by_id["acme"].burst)
+        self.assertEqual({"zone-a": 1, "zone-b": 2}, profile.zones)
+        self.assertTrue(profile.rule_for("GET", "/open/1").idempotent)
+        self.assertIs(False, profile.rule_for("POST", "/open/1").idempotent)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/__init__.py
@@ -0,0 +1,1 @@
+"""The pollenglade daemon: one process on each target host."""
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/control.py
@@ -0,0 +1,82 @@
+"""The control port: target announcements, health, readiness, status and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Annotated
+
+import orjson
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_message import json_response
+
+from .serving import Serving
+from .target import TargetState
+
+Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class TargetAnnouncement(BaseModel):
+    """Body of `POST /v1/targets`."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    service: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+    address: str
+    slots: Annotated[int, Field(ge=1, le=100_000)]
+    state: TargetState
+
+
+def findings_response(error: ValidationError) -> HttpResponse:
+    """Return a 400 response that lists all findings with their place."""
+    findings = [
+        {"place": ".".join(str(part) for part in item["loc"]), "text": item["msg"]}
+        for item in error.errors()
+    ]
+    return json_response(400, {"findings": findings})
+
+
+class ControlApi:
+    """Routes requests of the control port by method and path."""
+
+    def __init__(self) -> None:
+        self._routes_by_path: dict[tuple[str, str], Route] = {}
+
+    def add(self, method: str, path: str, route: Route) -> None:
+        """Register a route."""
+        self._routes_by_path[(method, path)] = route
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        path = request.target.partition(b"?")[0].decode("ascii", "replace")
+        route = self._routes_by_path.get((request.method, path))
+        if route is None:
+            return json_response(404, {"detail": f"no route {request.method} {path}"})
+        try:
+            return await route(request)
+        except ValidationError as error:
+            return findings_response(error)
+        except orjson.JSONDecodeError as error:
+            return json_response(400, {"findings": [{"place": "", "text": str(error)}]})
+
+
+def add_target_route(api: ControlApi, serving: Serving) -> None:
+    """Register the announcements of targets."""
+
+    async def announce(request: HttpRequest) -> HttpResponse:
+        body = TargetAnnouncement.model_validate(orjson.loads(request.body))
+        try:
+            address = Address.parse(body.address)
+        except ValueError as error:
+            return json_response(400, {"findings": [{"place": "address", "text": str(error)}]})
+        serving.announce(body.service, address, body.slots, body.state)
+        return json_response(200, {"accepted": True})
+
+    api.add("POST", "/v1/targets", announce)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/main.py
@@ -0,0 +1,82 @@
+"""Command line of the daemon `pollenglade-node`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from typing import Annotated
+
+import typer
+import uvloop
+
+from pollenglade_core.finding import Findings
+
+from .logs import configure_logs
+from .node import Node
+from .settings import NodeSettings
+from .settings import load_settings
+
+EXIT_SETTINGS = 2
+GC_THRESHOLD = 50_000
+"""Allocations between collections; the default of 700 collects many times per second under load."""
+
+
+def _help(name: str) -> str:
+    field = NodeSettings.model_fields[name]
+    default = "" if field.is_required() else f" Default: {field.default}."
+    return f"{field.description}{default} Environment: POLLENGLADE_{name.upper()}."
+
+
+def run(
+    node: Annotated[str | None, typer.Option(help=_help("node"))] = None,
+    zone: Annotated[str | None, typer.Option(help=_help("zone"))] = None,
+    region: Annotated[str | None, typer.Option(help=_help("region"))] = None,
+    caller_address: Annotated[str | None, typer.Option(help=_help("caller_address"))] = None,
+    link_address: Annotated[str | None, typer.Option(help=_help("link_address"))] = None,
+    control_address: Annotated[str | None, typer.Option(help=_help("control_address"))] = None,
+    platform_url: Annotated[str | None, typer.Option(help=_help("platform_url"))] = None,
+    concurrency_limit: Annotated[
+        str | None, typer.Option(help=_help("concurrency_limit"))
+    ] = None,
+    drain_limit_s: Annotated[float | None, typer.Option(help=_help("drain_limit_s"))] = None,
+    log_level: Annotated[str | None, typer.Option(help=_help("log_level"))] = None,
+) -> None:
+    """Run the overload control daemon of one target host until SIGTERM or SIGINT.
+
+    Flags win over environment variables.
+    """
+    settings = load_settings(dict(locals()))
+    if isinstance(settings, Findings):
+        typer.echo("The settings have problems:", err=True)
+        for finding in settings.items:
+            typer.echo(f"  {finding}", err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    configure_logs(settings.log_level, settings.node, settings.zone)
+    uvloop.run(serve(settings))
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run a node until a stop signal, then stop it gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(settings)
+    await node.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 20, 20)
+    await stop.wait()
+    await node.stop_gracefully()
+    await node.close()
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -0,0 +1,399 @@
+"""Spends quota for calls, and grants it for the slots that this node holds."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Protocol
+
+from pollenglade_core.configuration import Configuration
+from pollenglade_core.lease import ZoneLeases
+from pollenglade_core.lease_rows import LeaseAction
+from pollenglade_core.lease_rows import ReadAnnouncement
+from pollenglade_core.lease_rows import ReadSlot
+from pollenglade_core.lease_rows import SlotRow
+from pollenglade_core.lease_rows import StoredSlotRow
+from pollenglade_core.lease_rows import WriteSlot
+from pollenglade_core.lease_rows import preferred_holder
+from pollenglade_core.lease_rows import slot_of
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.profile import OrganisationContract
+from pollenglade_core.quota import Account
+from pollenglade_core.quota import AskHolder
+from pollenglade_core.quota import Granted
+from pollenglade_core.quota import QuotaAsk
+from pollenglade_core.quota import QuotaBorrower
+from pollenglade_core.quota import QuotaHolder
+from pollenglade_core.quota import Refused
+from pollenglade_core.quota import SettleHolder
+from pollenglade_core.quota import Settlement
+from pollenglade_core.quota import Spent
+from pollenglade_core.quota import zone_shares
+from pollenglade_core.quota_borrower import BorrowerAction
+from pollenglade_core.randomness import RandomSource
+from pollenglade_net.platform_api import Absent
+from pollenglade_net.platform_api import Row
+from pollenglade_net.platform_api import Table
+from pollenglade_net.platform_api import Unavailable
+from pollenglade_net.platform_api import VersionConflict
+from pollenglade_net.platform_api import Written
+
+from .announcement import announcement_from_wire
+from .announcement import row_name
+
+ADVANCE_INTERVAL_S = 0.1
+LEASE_INTERVAL_S = 1.0
+ASK_TOPIC = "quota-ask"
+SETTLE_TOPIC = "quota-settle"
+
+Done = Callable[[Refusal | None], None]
+
+
+class Peers(Protocol):
+    """What the quota needs to know of other nodes."""
+
+    def live_nodes(self, zone: str) -> Sequence[str]:
+        """Return the nodes of a zone that are believed to be alive."""
+
+
+class Asker(Protocol):
+    """Sends questions to nodes."""
+
+    def ask_node(
+        self, node: str, topic: str, payload: object, callback: Callable[[object], None]
+    ) -> None:
+        """Ask a node; `callback` gets the answer, or None where there is none."""
+
+
+class QuotaService:
+    """Drives borrower, holder and leases of one node."""
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        zone: str,
+        peers: Peers,
+        asker: Asker,
+        table: Table,
+        source: RandomSource,
+    ) -> None:
+        self._zone = zone
+        self._peers = peers
+        self._asker = asker
+        self._table = table
+        self._source = source
+        self._name = f"{node}/{incarnation:x}"
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timers: list[asyncio.TimerHandle] = []
+        self._waiting_by_call: dict[str, Done] = {}
+        self._holder_by_slot: dict[tuple[str, int], str] = {}
+        self._borrowers_by_zones: dict[tuple[str, ...], QuotaBorrower] = {}
+        self._next_call = 0
+        self.leases = ZoneLeases(node, incarnation)
+        self.holder = QuotaHolder(self.leases)
+        self._accounts: set[Account] = set()
+
+    async def start(self) -> None:
+        """Start the timers."""
+        self._advance()
+        self._advance_leases()
+
+    def apply(self, configuration: Configuration) -> None:
+        """Take the shares of this zone from a configuration."""
+        now = self._loop.time()
+        accounts: set[Account] = set()
+        for profile in configuration.profiles_by_name.values():
+            if self._zone not in profile.zones:
+                continue
+            zones = tuple(profile.zones)
+            for contract in profile.organisations_by_id.values():
+                account = Account(profile.name, contract.organisation)
+                rate = zone_shares(contract.rate_per_s, zones, profile.zones)[self._zone]
+                burst = zone_shares(contract.burst, zones, profile.zones)[self._zone]
+                self.holder.set_share(account, rate, burst, now)
+                accounts.add(account)
+        for account in self._accounts - accounts:
+            self.holder.set_share(account, 0, 0, now)
+        self._accounts = accounts
+
+    def spend(
+        self,
+        profile: str,
+        contract: OrganisationContract,
+        zones: Sequence[str],
+        done: Done,
+    ) -> Callable[[], None] | None:
+        """Call `done` with None once a token is spent, or with the refusal.
+
+        Return a function that abandons the wait, or None where the call does not wait.
+        """
+        borrower = self._borrower(zones)
+        account = Account(profile, contract.organisation)
+        self._next_call += 1
+        call_id = str(self._next_call)
+        self._waiting_by_call[call_id] = done
+        self._apply(borrower, borrower.spend(account, call_id, self._loop.time()))
+        if call_id not in self._waiting_by_call:
+            return None
+
+        def abandon() -> None:
+            if self._waiting_by_call.pop(call_id, None) is not None:
+                borrower.cancel(account, call_id)
+
+        return abandon
+
+    def _borrower(self, zones: Sequence[str]) -> QuotaBorrower:
+        key = tuple(sorted(zones))
+        borrower = self._borrowers_by_zones.get(key)
+        if borrower is None:
+            name = f"{self._name}/{len(self._borrowers_by_zones)}"
+            borrower = QuotaBorrower(name, self._zone, key, self._source)
+            self._borrowers_by_zones[key] = borrower
+        return borrower
+
+    def _apply(self, borrower: QuotaBorrower, actions: Sequence[BorrowerAction]) -> None:
+        for action in actions:
+            if isinstance(action, Spent):
+                self._finish(action.call_id, None)
+            elif isinstance(action, Refused):
+                self._finish(action.call_id, action.refusal)
+            elif isinstance(action, AskHolder):
+                self._ask(borrower, action, hint=None)
+            elif isinstance(action, SettleHolder):
+                self._settle(action)
+
+    def _finish(self, call_id: str, refusal: Refusal | None) -> None:
+        done = self._waiting_by_call.pop(call_id, None)
+        if done is not None:
+            done(refusal)
+
+    def _holder_of(self, zone: str, organisation: str) -> str | None:
+        slot = slot_of(organisation)
+        live = self._peers.live_nodes(zone)
+        known = self._holder_by_slot.get((zone, slot))
+        return known if known in live else preferred_holder(slot, live)
+
+    def _ask(self, borrower: QuotaBorrower, action: AskHolder, hint: str | None) -> None:
+        ask = action.ask
+        node = hint or self._holder_of(action.zone, ask.account.organisation)
+        if node is None:
+            # A later turn of the loop, because the borrower is in the middle of an event.
+            self._loop.call_soon(self._unreachable, borrower, ask.request_id)
+            return
+        payload = [
+            ask.borrower,
+            ask.request_id,
+            list(ask.account),
+            ask.needed,
+            ask.wanted,
+            _settlements_to_wire(ask.settlements),
+        ]
+        slot = (action.zone, slot_of(ask.account.organisation))
+
+        def on_answer(answer: object) -> None:
+            self._on_answer(borrower, action, slot, answer, redirected=hint is not None)
+
+        self._asker.ask_node(node, ASK_TOPIC, payload, on_answer)
+
+    def _on_answer(
+        self,
+        borrower: QuotaBorrower,
+        action: AskHolder,
+        slot: tuple[str, int],
+        answer: object,
+        redirected: bool,
+    ) -> None:
+        now = self._loop.time()
+        request_id = action.ask.request_id
+        if not isinstance(answer, list) or len(answer) != 4:
+            self._unreachable(borrower, request_id)
+            return
+        kind, tokens, retry_after_s, holder = answer
+        if kind == "granted" and isinstance(tokens, int):
+            self._apply(borrower, borrower.on_granted(request_id, tokens, now))
+        elif kind == "redirect" and isinstance(holder, str) and holder and not redirected:
+            self._holder_by_slot[slot] = holder
+            self._ask(borrower, action, hint=holder)
+        else:
+            wait_s = float(retry_after_s) if isinstance(retry_after_s, int | float) else 0.1
+            self._apply(borrower, borrower.on_denied(request_id, wait_s, now))
+
+    def _unreachable(self, borrower: QuotaBorrower, request_id: str) -> None:
+        self._apply(borrower, borrower.on_unreachable(request_id, self._loop.time()))
+
+    def _settle(self, action: SettleHolder) -> None:
+        node = self._holder_of(action.zone, action.account.organisation)
+        if node is not None:
+            payload = [list(action.account), _settlements_to_wire(action.settlements)]
+            self._asker.ask_node(node, SETTLE_TOPIC, payload, lambda answer: None)
+
+    def answer_ask(self, payload: object, answer: Callable[[object], None]) -> None:
+        """Answer a `quota-ask` of a borrower."""
+        ask = _ask_from_wire(payload)
+        if ask is None:
+            answer(None)
+            return
+        now = self._loop.time()
+        slot = slot_of(ask.account.organisation)
+        if self.leases.hold(slot, now) is None:
+            answer(["redirect", 0, ADVANCE_INTERVAL_S, self.leases.holder_of(slot)])
+            return
+        result = self.holder.ask(ask, now)
+        if isinstance(result, Granted):
+            answer(["granted", result.tokens, 0.0, ""])
+        else:
+            answer(["denied", 0, result.retry_after_s, ""])
+
+    def answer_settle(self, payload: object, answer: Callable[[object], None]) -> None:
+        """Take a `quota-settle` of a borrower."""
+        answer([])
+        if not isinstance(payload, list) or len(payload) != 2:
+            return
+        account = _account_from_wire(payload[0])
+        settlements = _settlements_from_wire(payload[1])
+        if account is not None and settlements is not None:
+            self.holder.settle(account, settlements, self._loop.time())
+
+    def _advance(self) -> None:
+        now = self._loop.time()
+        for borrower in list(self._borrowers_by_zones.values()):
+            self._apply(borrower, borrower.advance(now))
+        self._timers = [timer for timer in self._timers if timer.when() > now]
+        self._timers.append(self._loop.call_later(ADVANCE_INTERVAL_S, self._advance))
+
+    def _advance_leases(self) -> None:
+        live = self._peers.live_nodes(self._zone)
+        for action in self.leases.advance(live, self._loop.time()):
+            self._spawn(self._carry_out(action))
+        self._timers.append(self._loop.call_later(LEASE_INTERVAL_S, self._advance_leases))
+
+    async def _carry_out(self, action: LeaseAction) -> None:
+        if isinstance(action, ReadAnnouncement):
+            await self._read_announcement(action.node)
+        elif isinstance(action, ReadSlot):
+            await self._read_slot(action.slot)
+        else:
+            await self._write_slot(action)
+
+    async def _read_announcement(self, node: str) -> None:
+        requested_at = self._loop.time()
+        row = await self._table.read(row_name(self._zone, node))
+        if isinstance(row, Unavailable):
+            return
+        version, incarnation = 0, 0
+        if isinstance(row, Row):
+            announcement = announcement_from_wire(row.value)
+            version = row.version
+            incarnation = announcement.incarnation if announcement is not None else 0
+        now = self._loop.time()
+        self.leases.on_announcement(node, incarnation, version, requested_at, now)
+
+    def _slot_row_name(self, slot: int) -> str:
+        return f"quota/{self._zone}/{slot}"
+
+    async def _read_slot(self, slot: int) -> None:
+        row = await self._table.read(self._slot_row_name(slot))
+        if isinstance(row, Unavailable):
+            self.leases.on_lost(slot)
+        else:
+            stored = None if isinstance(row, Absent) else _stored_from_row(row)
+            self.leases.on_row(slot, stored, self._loop.time())
+
+    async def _write_slot(self, action: WriteSlot) -> None:
+        row = action.row
+        value = {
+            "holder": row.holder,
+            "incarnation": row.incarnation,
+            "epoch": row.epoch,
+            "attempt": row.attempt,
+        }
+        name = self._slot_row_name(action.slot)
+        result = await self._table.write(name, value, action.expected_version, row.attempt)
+        now = self._loop.time()
+        if isinstance(result, Written):
+            self.leases.on_written(action.slot, result.version, now)
+        elif isinstance(result, VersionConflict):
+            stored = None if result.current is None else _stored_from_row(result.current)
+            self.leases.on_row(action.slot, stored, now)
+        else:
+            self.leases.on_lost(action.slot)
+
+    async def release(self, timeout_s: float) -> None:
+        """Stop granting and release all slots, as far as the platform answers in time."""
+        self.leases.release_all()
+        deadline = self._loop.time() + timeout_s
+        while not self.leases.is_released() and self._loop.time() < deadline:
+            actions = self.leases.advance([], self._loop.time())
+            if actions:
+                await asyncio.gather(*(self._carry_out(action) for action in actions))
+            else:
+                await asyncio.sleep(0.02)
+
+    def _spawn(self, coroutine: object) -> None:
+        task = self._loop.create_task(coroutine)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Stop the timers."""
+        for timer in self._timers:
+            timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
+
+def _settlements_to_wire(settlements: Sequence[Settlement]) -> list[list[object]]:
+    return [[item.request_id, item.spent, item.returned] for item in settlements]
+
+
+def _settlements_from_wire(value: object) -> tuple[Settlement, ...] | None:
+    settlements: list[Settlement] = []
+    for item in value if isinstance(value, list) else [None]:
+        if not isinstance(item, list) or len(item) != 3:
+            return None
+        request_id, spent, returned = item
+        if not isinstance(request_id, str):
+            return None
+        if not isinstance(spent, int) or not isinstance(returned, int):
+            return None
+        settlements.append(Settlement(request_id, spent, returned))
+    return tuple(settlements)
+
+
+def _account_from_wire(value: object) -> Account | None:
+    if not isinstance(value, list) or len(value) != 2:
+        return None
+    profile, organisation = value
+    if not isinstance(profile, str) or not isinstance(organisation, str):
+        return None
+    return Account(profile, organisation)
+
+
+def _ask_from_wire(value: object) -> QuotaAsk | None:
+    if not isinstance(value, list) or len(value) != 6:
+        return None
+    borrower, request_id, account_wire, needed, wanted, settlements_wire = value
+    account = _account_from_wire(account_wire)
+    settlements = _settlements_from_wire(settlements_wire)
+    if account is None or settlements is None:
+        return None
+    if not isinstance(borrower, str) or not isinstance(request_id, str):
+        return None
+    if not isinstance(needed, int) or not isinstance(wanted, int) or min(needed, wanted) < 0:
+        return None
+    return QuotaAsk(borrower, request_id, account, needed, wanted, settlements)
+
+
+def _stored_from_row(row: Row) -> StoredSlotRow:
+    value = row.value if isinstance(row.value, dict) else {}
+    slot_row = SlotRow(
+        str(value.get("holder", "")),
+        int(value.get("incarnation", 0)),
+        int(value.get("epoch", 0)),
+        str(value.get("attempt", "")),
+    )
+    return StoredSlotRow(row.version, slot_row)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/serving.py
@@ -0,0 +1,214 @@
+"""The serving role: admits calls to the targets of this host and relays their responses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from pollenglade_core.admission import Action
+from pollenglade_core.admission import Admit
+from pollenglade_core.call import CallContext
+from pollenglade_core.call_handles import CallHandles
+from pollenglade_core.limit import ConcurrencyLimit
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.randomness import RandomSource
+from pollenglade_core.randomness import jittered
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import ConnectionPool
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.link_message import Feedback
+
+from .serving_call import ServingCall
+from .target import Target
+from .target import TargetState
+
+RETRY_AFTER_S = 0.5
+CRASH_NOTICE_TIMEOUT_S = 0.25
+"""Time that a call waits for other nodes to acknowledge a crash notice."""
+
+CRASH_PROBE_TIMEOUT_S = 0.25
+
+LimitFactory = Callable[[int], ConcurrencyLimit]
+
+
+class Serving:
+    """Owns the targets of this host and the calls that run at them."""
+
+    def __init__(
+        self,
+        handles: CallHandles,
+        pool: ConnectionPool,
+        limit_of: LimitFactory,
+        source: RandomSource,
+        ledger: CrashLedger,
+    ) -> None:
+        self.handles = handles
+        self.pool = pool
+        self.ledger = ledger
+        self._limit_of = limit_of
+        self._source = source
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer_by_target: dict[Target, asyncio.TimerHandle] = {}
+        self._crash_probes_by_target: dict[Target, asyncio.Task[None]] = {}
+        self.targets_by_address: dict[Address, Target] = {}
+        self.calls_by_id: dict[str, ServingCall] = {}
+        self.calls_by_handle: dict[str, ServingCall] = {}
+        self.draining = False
+        self.on_targets_changed: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[str, tuple[str, ...]], asyncio.Future[None] | None] = (
+            lambda service, fingerprints: None
+        )
+
+    def announce(self, service: str, address: Address, slots: int, state: TargetState) -> None:
+        """Take the announcement of a target."""
+        now = self._loop.time()
+        target = self.targets_by_address.get(address)
+        if target is None or target.service != service:
+            target = Target(service, address, slots, self._limit_of(slots), self._source)
+            self.targets_by_address[address] = target
+        changed = target.state is not state or now - target.announced_at > 1e6
+        target.slots = slots
+        target.state = state
+        target.announced_at = now
+        if state is TargetState.GONE:
+            self._remove(target)
+        if changed:
+            self.on_targets_changed()
+
+    def expire_targets(self) -> None:
+        """Forget targets that have stopped to announce themselves."""
+        now = self._loop.time()
+        for target in list(self.targets_by_address.values()):
+            silent = target.state is TargetState.READY and not target.is_ready(now)
+            if silent:
+                target.state = TargetState.GONE
+                self._remove(target)
+                self.on_targets_changed()
+
+    def _remove(self, target: Target) -> None:
+        self.targets_by_address.pop(target.address, None)
+        self.pool.drop_address(target.address)
+
+    def ready_targets(self, service: str) -> list[Target]:
+        """Return the targets of a service that take new calls."""
+        now = self._loop.time()
+        targets = self.targets_by_address.values()
+        return [item for item in targets if item.service == service and item.is_ready(now)]
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> ServingCall:
+        """Admit, queue or refuse a call."""
+        targets = self.ready_targets(context.service)
+        target = min(targets, key=lambda item: item.admission.in_flight) if targets else None
+        call = ServingCall(self, target, context, request, sink)
+        refusal = self._refusal_before_admission(context, target)
+        if refusal is not None or target is None:
+            call.refuse(refusal or self._refusal(Reason.NO_TARGET))
+            return call
+        self.calls_by_id[context.call_id] = call
+        self.apply(target, target.admission.offer(context, self._loop.time()))
+        return call
+
+    def _refusal_before_admission(
+        self, context: CallContext, target: Target | None
+    ) -> Refusal | None:
+        if self.draining:
+            return self._refusal(Reason.DRAINING)
+        if target is None:
+            return self._refusal(Reason.NO_TARGET)
+        if context.call_id in self.calls_by_id:
+            return self._refusal(Reason.BAD_REQUEST, "the call id is in use")
+        return self.ledger.check(context.fingerprint, self._loop.time())
+
+    def _refusal(self, reason: Reason, detail: str = "") -> Refusal:
+        return Refusal(reason, Outcome.NOT_RUN, jittered(RETRY_AFTER_S, self._source), detail)
+
+    def apply(self, target: Target, actions: list[Action]) -> None:
+        """Carry out the actions of an admission and set the timer for its next expiry."""
+        for action in actions:
+            call = self.calls_by_id.get(action.call_id)
+            if call is None:
+                continue
+            if isinstance(action, Admit):
+                call.start()
+            else:
+                call.refuse(action.refusal)
+        self._schedule_expiry(target)
+
+    def _schedule_expiry(self, target: Target) -> None:
+        expiry = target.admission.next_expiry()
+        timer = self._timer_by_target.get(target)
+        if timer is not None:
+            if expiry is not None and timer.when() <= expiry:
+                return
+            timer.cancel()
+            del self._timer_by_target[target]
+        if expiry is not None:
+            self._timer_by_target[target] = self._loop.call_at(expiry, self._expire, target)
+
+    def _expire(self, target: Target) -> None:
+        self._timer_by_target.pop(target, None)
+        self.apply(target, target.admission.expire(self._loop.time()))
+
+    def feedback(self, target: Target | None, context: CallContext) -> Feedback:
+        """Return what the entry node is told with the final message of a call."""
+        unspent = context.allowance.remaining
+        if target is None:
+            return Feedback(unspent)
+        level = target.admission.level
+        return Feedback(unspent, int(level.importance), level.fraction)
+
+    def forget(self, call: ServingCall) -> None:
+        """Remove a call that has ended."""
+        self.calls_by_id.pop(call.context.call_id, None)
+
+    def spawn(self, coroutine: object) -> None:
+        """Run a coroutine in a task that the node waits for on close."""
+        task = self._loop.create_task(coroutine)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def report_break(self, target: Target) -> None:
+        """Find out whether a target crashed, and tell the other nodes of its service.
+
+        Calls that broke together share one probe. A call that broke is answered only after this
+        has ended, so that a resend finds the crash on record everywhere.
+        """
+        probe = self._crash_probes_by_target.get(target)
+        if probe is None:
+            fingerprints = tuple(
+                call.context.fingerprint
+                for call in self.calls_by_id.values()
+                if call.target is target and call.is_started
+            )
+            probe = self._loop.create_task(self._probe_crash(target, fingerprints))
+            self._crash_probes_by_target[target] = probe
+            probe.add_done_callback(lambda _: self._crash_probes_by_target.pop(target, None))
+        await asyncio.shield(probe)
+
+    async def _probe_crash(self, target: Target, fingerprints: tuple[str, ...]) -> None:
+        connection = await self.pool.connect(target.address, CRASH_PROBE_TIMEOUT_S)
+        if not isinstance(connection, HttpFailure):
+            connection.abort()
+            return
+        target.state = TargetState.GONE
+        self._remove(target)
+        self.on_targets_changed()
+        acknowledged = self.on_crash(target.service, fingerprints)
+        if acknowledged is not None:
+            await asyncio.wait([acknowledged], timeout=CRASH_NOTICE_TIMEOUT_S)
+
+    async def close(self) -> None:
+        """Cancel what is left."""
+        for timer in self._timer_by_target.values():
+            timer.cancel()
+        for call in list(self.calls_by_id.values()):
+            call.cancel()
+        for task in [*self._tasks, *self._crash_probes_by_target.values()]:
+            task.cancel()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/serving_call.py
@@ -0,0 +1,233 @@
+"""One call at the serving node, from admission to the end of the response of the target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_client import FRESH_IDLE_S
+from pollenglade_net.http_client import MAX_IDLE_S
+from pollenglade_net.http_client import ClientConnection
+from pollenglade_net.http_message import FailureReason
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import end_to_end_headers
+from pollenglade_net.link import WINDOW_BYTES
+
+if TYPE_CHECKING:
+    from .serving import Serving
+    from .target import Target
+
+WHOLE_RESPONSE_BYTES = 64 * 1024
+"""A response up to this size is relayed in one message."""
+
+NOT_RUN_HEADER = b"pollenglade-not-run"
+
+
+class Child(Protocol):
+    """A nested call that runs for this call."""
+
+    def cancel(self) -> None:
+        """Give the nested call up."""
+
+
+class ServingCall:
+    """Relays one call to a target; sink of the HTTP response and attempt for the entry node."""
+
+    def __init__(
+        self,
+        serving: Serving,
+        target: Target | None,
+        context: CallContext,
+        request: HttpRequest,
+        sink: AttemptSink,
+    ) -> None:
+        self._serving = serving
+        self._loop = asyncio.get_running_loop()
+        self.target = target
+        self.context = context
+        self._request = request
+        self._sink: AttemptSink | None = sink
+        self._connection: ClientConnection | None = None
+        self._handle: str | None = None
+        self._started_at = 0.0
+        self._status = 0
+        self._headers: Headers = []
+        self._parts: list[bytes] = []
+        self._streaming = False
+        self._unacknowledged = 0
+        self.children: set[Child] = set()
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the call was admitted and has not ended."""
+        return self._handle is not None
+
+    def start(self) -> None:
+        """Send the call to the target."""
+        assert self.target is not None
+        self._started_at = self._loop.time()
+        self._handle = self._serving.handles.issue(self.context)
+        self._serving.calls_by_handle[self._handle] = self
+        self._serving.ledger.on_start(self.context.fingerprint, self._started_at)
+        # A connection that was idle for long may be dead without notice.
+        max_idle_s = MAX_IDLE_S if self.context.idempotent else FRESH_IDLE_S
+        connection = self._serving.pool.take(self.target.address, max_idle_s)
+        if connection is None:
+            self._serving.spawn(self._connect())
+            return
+        self._send(connection)
+
+    async def _connect(self) -> None:
+        assert self.target is not None
+        connection = await self._serving.pool.connect(self.target.address)
+        if self._sink is None:
+            if isinstance(connection, ClientConnection):
+                connection.abort()
+            return
+        if isinstance(connection, HttpFailure):
+            self.on_failure(connection)
+            return
+        self._send(connection)
+
+    def _send(self, connection: ClientConnection) -> None:
+        assert self.target is not None
+        self._connection = connection
+        remaining_s = max(0.001, self.context.remaining_s(self._loop.time()))
+        request = self._request
+        headers = [
+            (b"host", str(self.target.address).encode()),
+            *request.headers,
+            (b"pollenglade-call", (self._handle or "").encode()),
+            (b"pollenglade-call-id", self.context.call_id.encode()),
+            (b"pollenglade-organisation", self.context.organisation.encode()),
+            (b"pollenglade-deadline-ms", b"%d" % int(remaining_s * 1000)),
+        ]
+        connection.send(request.method, request.target, headers, request.body, self, remaining_s)
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Take the head of the response of the target."""
+        self._status = status
+        self._headers = end_to_end_headers(headers)
+        length = next((value for key, value in headers if key == b"content-length"), None)
+        whole = length is not None and int(length) <= WHOLE_RESPONSE_BYTES
+        if whole or status in (204, 304) or self._request.method == "HEAD" or self._is_shed():
+            return
+        self._streaming = True
+        if self._sink is not None:
+            self._sink.on_head(status, self._headers)
+
+    def _is_shed(self) -> bool:
+        return self._status == 503 and (NOT_RUN_HEADER, b"true") in self._headers
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if not self._streaming:
+            self._parts.append(data)
+            return
+        self._unacknowledged += len(data)
+        if self._unacknowledged > WINDOW_BYTES and self._connection is not None:
+            self._connection.pause()
+        if self._sink is not None:
+            self._sink.on_data(data)
+
+    def credit(self, count: int) -> None:
+        """Allow `count` further bytes of a streamed body."""
+        self._unacknowledged -= count
+        if self._unacknowledged <= WINDOW_BYTES and self._connection is not None:
+            self._connection.resume()
+
+    def on_end(self) -> None:
+        """Take the end of a whole response."""
+        sink, self._sink = self._sink, None
+        if sink is None:
+            return
+        self._serving.ledger.on_complete(self.context.fingerprint, self._loop.time())
+        shed = self._is_shed()
+        feedback = self._end(ok=not shed)
+        if shed:
+            refusal = Refusal(Reason.TARGET_SHED, Outcome.NOT_RUN, 0.5)
+            sink.on_refusal(refusal, feedback)
+        elif self._streaming:
+            sink.on_end(feedback)
+        else:
+            sink.on_response(self._status, self._headers, b"".join(self._parts), feedback)
+
+    def on_failure(self, failure: HttpFailure) -> None:
+        """Take the reason why there is no whole response."""
+        if self._sink is None:
+            return
+        if failure.reason is FailureReason.TIMEOUT:
+            self._fail(Refusal(Reason.TIMEOUT, Outcome.UNKNOWN, None, failure.detail))
+            return
+        if failure.sent:
+            refusal = Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, None, failure.detail)
+        else:
+            refusal = Refusal(Reason.NO_TARGET, Outcome.NOT_RUN, 0.5, failure.detail)
+        self._serving.spawn(self._fail_after_probe(refusal))
+
+    async def _fail_after_probe(self, refusal: Refusal) -> None:
+        assert self.target is not None
+        await self._serving.report_break(self.target)
+        self._fail(refusal)
+
+    def _fail(self, refusal: Refusal) -> None:
+        sink, self._sink = self._sink, None
+        if sink is None:
+            return
+        streaming = self._streaming
+        feedback = self._end(ok=False)
+        if streaming:
+            sink.on_failure(refusal, feedback)
+        else:
+            sink.on_refusal(refusal, feedback)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer a call that was not started."""
+        sink, self._sink = self._sink, None
+        self._serving.forget(self)
+        if sink is not None:
+            sink.on_refusal(refusal, self._serving.feedback(self.target, self.context))
+
+    def cancel(self) -> None:
+        """Give the call up; the target sees its connection close."""
+        if self._sink is None:
+            return
+        self._sink = None
+        if self._connection is not None:
+            self._connection.cancel()
+        target = self.target
+        if target is None:
+            return
+        if self._handle is not None:
+            self._end(ok=True, cancelled=True)
+            return
+        self._serving.forget(self)
+        self._serving.apply(target, target.admission.cancel(self.context.call_id, self._loop.time()))
+
+    def _end(self, ok: bool, cancelled: bool = False) -> object:
+        """Release what the call holds and return the feedback for the entry node."""
+        assert self.target is not None and self._handle is not None
+        now = self._loop.time()
+        feedback = self._serving.feedback(self.target, self.context)
+        self._serving.handles.revoke(self._handle)
+        self._serving.calls_by_handle.pop(self._handle, None)
+        self._handle = None
+        self._serving.ledger.on_finish(self.context.fingerprint, now)
+        for child in list(self.children):
+            child.cancel()
+        self._serving.forget(self)
+        admission = self.target.admission
+        if cancelled:
+            actions = admission.cancel(self.context.call_id, now)
+        else:
+            actions = admission.finish(self.context.call_id, now, now - self._started_at, ok)
+        self._serving.apply(self.target, actions)
+        return feedback
