--- a/packages/pollenglade-core/src/pollenglade_core/lease.py
+++ b/packages/pollenglade-core/src/pollenglade_core/lease.py
@@ -43,6 +43,11 @@
             return None
         return self._leases_by_slot[slot].hold(self._evidence.generation, now)
 
+    def holder_of(self, slot: int) -> str:
+        """Return the node that the row of a slot named when it was last seen, or an empty text."""
+        row = self._leases_by_slot[slot].row
+        return row.holder if row is not None else ""
+
     def held_slots(self, now: float) -> list[int]:
         """Return the slots that this node may grant from, to be announced to borrowers."""
         return [slot for slot in self._leases_by_slot if self.hold(slot, now) is not None]
--- a/packages/pollenglade-core/src/pollenglade_core/outcome.py
+++ b/packages/pollenglade-core/src/pollenglade_core/outcome.py
@@ -24,6 +24,7 @@
     KEY_EXPOSED = "key-exposed"
     HANDLE_UNKNOWN = "handle-unknown"
     SERVICE_UNKNOWN = "service-unknown"
+    NO_CONTRACT = "no-contract"
     OVER_RATE = "over-rate"
     OVERLOADED = "overloaded"
     QUEUE_DELAY = "queue-delay"
@@ -53,6 +54,7 @@
     Reason.KEY_EXPOSED: 400,
     Reason.HANDLE_UNKNOWN: 401,
     Reason.SERVICE_UNKNOWN: 404,
+    Reason.NO_CONTRACT: 403,
     Reason.OVER_RATE: 429,
     Reason.OVERLOADED: 503,
     Reason.QUEUE_DELAY: 503,
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -6,6 +6,7 @@
 
 from . import cutting_proxy
 from . import target_standin
+from .link_comparison import link_comparison
 from .platform_command import platform
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -17,6 +18,7 @@
 
 
 app.command()(platform)
+app.command()(link_comparison)
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass
 from typing import Protocol
+from typing import cast
 
 import h11
 
@@ -77,8 +78,8 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # The transports of uvloop do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import cast
 
 import h11
 import orjson
@@ -125,8 +126,8 @@
         return self._exchange is None and self._request is None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # The transports of uvloop do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Protocol
+from typing import cast
 
 import msgpack
 
@@ -160,8 +161,8 @@
         return bool(self._open_by_stream or self._peer_by_stream)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # The transports of uvloop do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
         self.send(self._owner.hello.to_wire())
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -56,9 +57,13 @@
         self,
         profile: str,
         contract: OrganisationContract,
+        zones: Sequence[str],
         done: Callable[[Refusal | None], None],
-    ) -> None:
-        """Call `done` with None once a token is spent, or with the refusal."""
+    ) -> Callable[[], None] | None:
+        """Call `done` with None once a token is spent, or with the refusal.
+
+        Return a function that abandons the wait, or None where the call does not wait.
+        """
 
 
 class ClaimStore(Protocol):
@@ -117,7 +122,6 @@
         levels: SourceLevels,
         dispatcher: Dispatcher,
         quota: Quota,
-        claims: ClaimStore,
         counter: CallCounter,
         source: RandomSource,
     ) -> None:
@@ -204,8 +208,11 @@
             fingerprint=fingerprint_of(identity.organisation, route.service, forwarded),
         )
         call = self._open(exchange, context, forwarded)
-        self._quota.spend(
-            profile.name, contract, lambda refusal: self._on_quota(call, refusal)
+        call.abandon_wait = self._quota.spend(
+            profile.name,
+            contract,
+            tuple(profile.zones),
+            lambda refusal: self._on_quota(call, refusal),
         )
 
     def _on_quota(self, call: EntryCall, refusal: Refusal | None) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -66,6 +66,7 @@
         self.request = request
         self.started_at = entry.loop.time()
         self.is_open = True
+        self.abandon_wait: Callable[[], None] | None = None
         self.on_closed: Callable[[int | None], None] = lambda unspent: None
         self.on_result: Callable[[int, Headers, bytes, Refusal | None], None] | None = None
         self._attempt: Attempt | None = None
@@ -290,6 +291,8 @@
             self._entry.router.on_cancel(self._route, self._entry.loop.time())
         if self._attempt is not None:
             self._attempt.cancel()
+        if self.abandon_wait is not None:
+            self.abandon_wait()
         self._count(Outcome.UNKNOWN, Reason.CANCELLED)
         self._close(None)
 
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -0,0 +1,279 @@
+"""The node: every part and how they are wired, from top to bottom."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import structlog
+from pollenglade_core.call_handles import CallHandles
+from pollenglade_core.configuration import Configuration
+from pollenglade_core.limit import ConcurrencyLimit
+from pollenglade_core.limit import FixedLimit
+from pollenglade_core.limit import GradientLimit
+from pollenglade_core.limit import NoLimit
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.routing import Endpoint
+from pollenglade_core.routing import Router
+from pollenglade_core.source_levels import SourceLevels
+from pollenglade_net.configuration_store import ConfigurationStore
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import ConnectionPool
+from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_message import json_response
+from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import async_handler
+from pollenglade_net.link_message import Hello
+from pollenglade_net.platform_client import PlatformClient
+
+from .announcement import AnnouncedTarget
+from .call_counter import CallCounter
+from .configuration_sync import ConfigurationSync
+from .control import ControlApi
+from .control import add_target_route
+from .entry import Entry
+from .fleet import Fleet
+from .links import Links
+from .links import PeerAddress
+from .quota_service import ASK_TOPIC
+from .quota_service import SETTLE_TOPIC
+from .quota_service import QuotaService
+from .serving import Serving
+from .settings import NodeSettings
+
+MIN_LINGER_S = 3.0
+"""Time that a leaving node keeps answering, so that every peer has heard that it leaves."""
+
+RELEASE_TIMEOUT_S = 2.0
+DRAIN_POLL_S = 0.05
+TARGET_EXPIRY_INTERVAL_S = 0.5
+
+log = structlog.get_logger()
+
+
+class Node:
+    """One pollenglade node; `start`, then `stop_gracefully`, then `close`."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._expiry: asyncio.TimerHandle | None = None
+        # The start time orders incarnations of one node; a clock step back of the host can
+        # repeat one, which the fencing by epochs and row versions tolerates.
+        incarnation = time.time_ns() // 1_000_000
+        self.incarnation = incarnation
+        secure = random.SystemRandom()
+        fast = random.Random(secure.getrandbits(64))
+        self._pool = ConnectionPool(max_idle=512)
+        self._http = HttpClient()
+        platform = Address.parse(settings.platform_url.removeprefix("http://"))
+        self._platform = PlatformClient(platform, settings.zone, fast)
+        self.ledger = CrashLedger()
+        self.serving = Serving(
+            CallHandles(secure), self._pool, self._limit_of, fast, self.ledger
+        )
+        hello = Hello(settings.node, incarnation, settings.zone)
+        self.links = Links(hello, self.serving)
+        self.fleet = Fleet(
+            settings.node,
+            incarnation,
+            settings.zone,
+            settings.region,
+            settings.link_address,
+            settings.control_address,
+            self._platform,
+            fast,
+        )
+        self.quota = QuotaService(
+            settings.node,
+            incarnation,
+            settings.zone,
+            self.fleet,
+            self.links,
+            self._platform,
+            fast,
+        )
+        store = ConfigurationStore(self._platform, self._platform, fast)
+        self.configuration = ConfigurationSync(store, self._http, fast)
+        self.router = Router(settings.zone)
+        self.counter = CallCounter()
+        self.entry = Entry(
+            settings.node,
+            incarnation,
+            self.serving,
+            self.router,
+            SourceLevels(),
+            self.links,
+            self.quota,
+            self.counter,
+            fast,
+        )
+        self._caller_server = HttpServer(self.entry.handle)
+        self._control = ControlApi()
+        self._control_server = HttpServer(async_handler(self._control.handle))
+        self._connect_parts()
+
+    def _limit_of(self, slots: int) -> ConcurrencyLimit:
+        if self._settings.concurrency_limit == "none":
+            return NoLimit()
+        if self._settings.concurrency_limit == "fixed":
+            return FixedLimit(slots)
+        return GradientLimit(slots)
+
+    def _connect_parts(self) -> None:
+        self.links.answer_by_topic[ASK_TOPIC] = self.quota.answer_ask
+        self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
+        self.links.on_peer_drain = self.router.on_drain
+        self.fleet.on_change = self._on_fleet
+        self.fleet.on_renewed = lambda requested_at, alone: self.quota.leases.on_renewed(
+            requested_at, alone, self._loop.time()
+        )
+        self.serving.on_targets_changed = self._on_targets
+        self.configuration.on_change = self._on_configuration
+        add_target_route(self._control, self.serving)
+        self._control.add("GET", "/v1/configuration", self.configuration.serve)
+        self._control.add("GET", "/v1/status", self._status)
+        self._control.add("GET", "/v1/counts", self._counts)
+        self._control.add("GET", "/health", self._health)
+        self._control.add("GET", "/ready", self._ready)
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self.entry.configuration = configuration
+        self.quota.apply(configuration)
+
+    def _on_targets(self) -> None:
+        now = self._loop.time()
+        self.fleet.targets = tuple(
+            AnnouncedTarget(target.service, target.slots, target.state.value)
+            for target in self.serving.targets_by_address.values()
+            if target.is_ready(now)
+        )
+        self.fleet.announce_now()
+        self._update_endpoints()
+
+    def _on_fleet(self) -> None:
+        self.links.peers_by_node = {
+            item.node: PeerAddress(Address.parse(item.link_address), item.incarnation)
+            for item in self.fleet.by_node.values()
+        }
+        self._update_endpoints()
+
+    def _update_endpoints(self) -> None:
+        announcements = {**self.fleet.by_node, self._settings.node: self.fleet.announcement()}
+        self.router.update(
+            [
+                Endpoint(
+                    node=item.node,
+                    service=target.service,
+                    zone=item.zone,
+                    address=item.link_address,
+                    slots=target.slots,
+                    state="draining" if item.leaving else target.state,
+                )
+                for item in announcements.values()
+                for target in item.targets
+            ],
+            self._loop.time(),
+        )
+
+    async def start(self) -> None:
+        """Open the ports and take part in the fleet."""
+        caller = Address.parse(self._settings.caller_address)
+        control = Address.parse(self._settings.control_address)
+        await self._caller_server.start(caller.host, caller.port)
+        await self.links.start(Address.parse(self._settings.link_address))
+        await self._control_server.start(control.host, control.port)
+        await self.configuration.start()
+        await self.fleet.start()
+        await self.quota.start()
+        self._expire_targets()
+        log.info("node_started", incarnation=self.incarnation)
+
+    def _expire_targets(self) -> None:
+        self.serving.expire_targets()
+        self._expiry = self._loop.call_later(TARGET_EXPIRY_INTERVAL_S, self._expire_targets)
+
+    async def stop_gracefully(self) -> None:
+        """Refuse new work, tell all peers, let running calls end, release what is held."""
+        log.info("node_draining")
+        started_at = self._loop.time()
+        self.serving.draining = True
+        self.fleet.leaving = True
+        self.fleet.announce_now()
+        self.links.send_drain()
+        self._caller_server.drain()
+        self._update_endpoints()
+        await self.quota.release(RELEASE_TIMEOUT_S)
+        while not self._is_drained(self._loop.time() - started_at):
+            await asyncio.sleep(DRAIN_POLL_S)
+        log.info("node_drained", seconds=round(self._loop.time() - started_at, 1))
+
+    def _is_drained(self, elapsed_s: float) -> bool:
+        if elapsed_s >= self._settings.drain_limit_s:
+            return True
+        busy = self.entry.open_calls or self.serving.calls_by_id or self.links.is_busy
+        return elapsed_s >= MIN_LINGER_S and not busy
+
+    async def close(self) -> None:
+        """Close all ports and connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        await self.quota.close()
+        await self.fleet.close()
+        await self.configuration.close()
+        await self._caller_server.close()
+        await self.links.close()
+        await self.serving.close()
+        await self._control_server.close()
+        await self._pool.close()
+        await self._http.close()
+        await self._platform.close()
+
+    async def _status(self, request: HttpRequest) -> HttpResponse:
+        current = self.configuration.history.current
+        now = self._loop.time()
+        targets = [
+            {
+                "service": target.service,
+                "address": str(target.address),
+                "state": target.state.value,
+                "slots": target.slots,
+                "in_flight": target.admission.in_flight,
+                "waiting": target.admission.waiting,
+                "level": target.admission.level.importance.name.lower(),
+                "level_fraction": round(target.admission.level.fraction, 3),
+            }
+            for target in self.serving.targets_by_address.values()
+        ]
+        document = {
+            "node": self._settings.node,
+            "incarnation": self.incarnation,
+            "zone": self._settings.zone,
+            "region": self._settings.region,
+            "draining": self.serving.draining,
+            "configuration_version": current.version,
+            "configuration_digest": current.digest(),
+            "members": len(self.fleet.by_node),
+            "slots_held": self.quota.leases.held_slots(now),
+            "open_calls": len(self.entry.open_calls),
+            "targets": targets,
+        }
+        return json_response(200, document)
+
+    async def _counts(self, request: HttpRequest) -> HttpResponse:
+        document = {"node": self._settings.node, "incarnation": self.incarnation}
+        return json_response(200, document | self.counter.to_wire())
+
+    async def _health(self, request: HttpRequest) -> HttpResponse:
+        return json_response(200, {"status": "ok"})
+
+    async def _ready(self, request: HttpRequest) -> HttpResponse:
+        missing = []
+        if self.configuration.version == 0:
+            missing.append("configuration")
+        if self.serving.draining:
+            missing.append("draining")
+        return json_response(503 if missing else 200, {"missing": missing})
