--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/limit.py
@@ -0,0 +1,230 @@
+"""Limits on the number of calls that one target runs at the same time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import sqrt
+from statistics import median
+from typing import Protocol
+
+UNLIMITED = 1 << 31
+"""Limit that no target reaches."""
+
+MAX_LIMIT = 1_000
+"""Largest limit that a measured limit grows to."""
+
+MIN_LIMIT = 4
+"""Smallest floor; below it one slow call would hold back all others."""
+
+FLOOR_RATIO = 0.2
+"""Part of the starting value that always remains usable.
+
+A dependency that slows down makes calls longer without a queue at this target. A lower limit does
+not shorten them, it only lowers the throughput.
+"""
+
+WINDOW_S = 0.1
+MAX_WINDOW_S = 0.5
+WINDOW_SAMPLES = 20
+"""A window closes after WINDOW_S with enough samples, or after MAX_WINDOW_S with any."""
+
+MAX_SAMPLES = 256
+"""Samples kept per window; bounds the cost of the median."""
+
+TOLERANCE = 2.0
+"""Ratio of measured latency to baseline up to which the limit does not fall."""
+
+MIN_GRADIENT = 0.5
+"""Largest cut by one window."""
+
+IN_USE_RATIO = 0.75
+"""Part of the limit that must be in flight for the limit to grow."""
+
+RECOVERY_GROWTH = 1.5
+"""Factor per window up to the recovery target."""
+
+RECOVERY_RATIO = 0.9
+"""Recovery target in relation to the limit at which the latency rose.
+
+Below 1, so that repeated falls without an outside cause settle at a limit that holds.
+"""
+
+BASELINE_FALL = 0.1
+"""Weight of one window that is faster than the baseline; about 1 s to adopt it."""
+
+BASELINE_RISE_S = 60.0
+"""Time constant in seconds with which the baseline follows slower windows."""
+
+FAILURE_RATIO = 0.1
+FAILURE_GRADIENT = 0.9
+"""Gradient of a window in which more than FAILURE_RATIO of the calls failed."""
+
+PROBE_INTERVAL_S = 10.0
+"""Seconds between cuts that measure the latency without a queue at the target."""
+
+PROBE_INTERVAL_LATENCIES = 50
+"""Least distance of probes in latencies; bounds the part of the time spent in probes to 4 %."""
+
+PROBE_CUT = 0.25
+"""Part of the limit that stays usable during a probe.
+
+It has to be well below 1 / TOLERANCE. With a smaller cut the latency falls by no more than the
+tolerance, so the measured baseline would still justify the limit from before the probe.
+"""
+
+
+class ConcurrencyLimit(Protocol):
+    """Decides how many calls a target may run at the same time."""
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight."""
+
+    def on_start(self, now: float) -> None:
+        """Note that a call was sent to the target."""
+
+    def on_finish(self, now: float, latency_s: float, in_flight: int, ok: bool) -> None:
+        """Note that a call ended; `in_flight` counts it, `ok` is False for timeouts and sheds."""
+
+
+@dataclass(frozen=True, slots=True)
+class FixedLimit:
+    """The same limit at all times."""
+
+    limit: int
+
+    def on_start(self, now: float) -> None:
+        """Do nothing."""
+
+    def on_finish(self, now: float, latency_s: float, in_flight: int, ok: bool) -> None:
+        """Do nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class NoLimit:
+    """Admits every call; the reference in measurements."""
+
+    limit: int = UNLIMITED
+
+    def on_start(self, now: float) -> None:
+        """Do nothing."""
+
+    def on_finish(self, now: float, latency_s: float, in_flight: int, ok: bool) -> None:
+        """Do nothing."""
+
+
+class GradientLimit:
+    """Follows the ratio of a slowly rising baseline to the measured median latency.
+
+    `hint` is the number of slots that the target announces. It is only the starting value.
+    """
+
+    def __init__(self, hint: int, max_limit: int = MAX_LIMIT) -> None:
+        self._max = max(1, max_limit)
+        start = min(max(1, hint), self._max)
+        self._floor = min(self._max, max(MIN_LIMIT, start * FLOOR_RATIO))
+        self._value = max(self._floor, float(start))
+        self._limit = int(self._value)
+        self._recovery_target = self._value
+        self._falling = False
+        self._baseline: float | None = None
+        self._probe_settled: float | None = None
+        self._next_probe: float | None = None
+        self._opened: float | None = None
+        self._samples: list[float] = []
+        self._failed = 0
+        self._peak = 0
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight."""
+        return self._limit
+
+    def on_start(self, now: float) -> None:
+        """Open the first window with the first call after an idle period."""
+        if self._opened is None:
+            self._opened = now
+
+    def on_finish(self, now: float, latency_s: float, in_flight: int, ok: bool) -> None:
+        """Add a sample and adjust the limit where the window is complete."""
+        if self._opened is None:
+            self._opened = now
+        self._peak = max(self._peak, in_flight)
+        self._failed += not ok
+        # A fast failure says nothing about the time that a completed call needs.
+        usable = ok or (self._baseline is not None and latency_s > self._baseline)
+        if usable and len(self._samples) < MAX_SAMPLES:
+            self._samples.append(latency_s)
+        elapsed = now - self._opened
+        if elapsed >= WINDOW_S and self._is_complete(elapsed):
+            self._close_window(now, elapsed)
+
+    def _is_complete(self, elapsed: float) -> bool:
+        wanted = min(WINDOW_SAMPLES, 2 * self._limit)
+        return len(self._samples) + self._failed >= wanted or elapsed >= MAX_WINDOW_S
+
+    def _close_window(self, now: float, elapsed: float) -> None:
+        latency = median(self._samples) if self._samples else None
+        failing = self._failed > FAILURE_RATIO * (len(self._samples) + self._failed)
+        in_use = self._peak >= IN_USE_RATIO * self._limit
+        self._samples.clear()
+        self._failed = 0
+        self._peak = 0
+        self._opened = now
+        if latency is not None:
+            self._follow_baseline(latency, elapsed)
+        if self._probe_settled is None:
+            self._adjust(self._gradient(latency, failing), in_use)
+        self._step_probe(now, now - elapsed, latency, in_use)
+        usable = self._value if self._probe_settled is None else self._value * PROBE_CUT
+        self._limit = max(1, int(usable))
+
+    def _follow_baseline(self, latency: float, elapsed: float) -> None:
+        if self._baseline is None:
+            self._baseline = latency
+            return
+        weight = BASELINE_FALL
+        if latency > self._baseline:
+            weight = min(1.0, elapsed / BASELINE_RISE_S)
+        self._baseline += weight * (latency - self._baseline)
+
+    def _gradient(self, latency: float | None, failing: bool) -> float:
+        gradient = FAILURE_GRADIENT if failing else 1.0
+        if latency and self._baseline is not None:
+            gradient = min(gradient, TOLERANCE * self._baseline / latency)
+        return max(MIN_GRADIENT, gradient)
+
+    def _adjust(self, gradient: float, in_use: bool) -> None:
+        if gradient < 1.0:
+            if not self._falling:
+                self._recovery_target = self._value * RECOVERY_RATIO
+            self._falling = True
+            reduced = self._value * gradient + sqrt(self._value) * (gradient > MIN_GRADIENT)
+            self._value = min(self._value, max(self._floor, reduced))
+            return
+        self._falling = False
+        if not in_use:
+            return
+        grown = self._value + sqrt(self._value)
+        if self._value < self._recovery_target:
+            grown = max(grown, min(self._recovery_target, self._value * RECOVERY_GROWTH))
+        self._value = min(float(self._max), grown)
+
+    def _step_probe(self, now: float, opened: float, latency: float | None, in_use: bool) -> None:
+        """Start or end a probe.
+
+        A baseline measured while calls queue inside the target makes that queue look normal. With
+        fewer calls in flight the latency falls and the baseline follows; otherwise nothing changes.
+        """
+        if self._probe_settled is not None:
+            # Calls from before the cut still show the queue that the probe removes.
+            if opened < self._probe_settled:
+                return
+            self._probe_settled = None
+            if latency is not None and self._baseline is not None:
+                self._baseline = min(self._baseline, latency)
+        elif self._next_probe is None:
+            self._next_probe = now + PROBE_INTERVAL_S
+        elif now >= self._next_probe and in_use and not self._falling and latency is not None:
+            self._probe_settled = now + 2 * latency
+            self._next_probe = now + max(PROBE_INTERVAL_S, PROBE_INTERVAL_LATENCIES * latency)
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_admission.py
@@ -0,0 +1,237 @@
+"""Guards against lost calls, unfair shares and wrong order in the admission of one target."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from collections.abc import Iterable
+from heapq import heappop
+from heapq import heappush
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from pollenglade_core.admission import Action
+from pollenglade_core.admission import Admission
+from pollenglade_core.admission import Admit
+from pollenglade_core.admission import Refuse
+from pollenglade_core.admission_level import OPEN
+from pollenglade_core.admission_level import LevelController
+from pollenglade_core.call import CallContext
+from pollenglade_core.importance import Importance
+from pollenglade_core.limit import FixedLimit
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.retry import RetryAllowance
+
+
+def make_call(
+    number: int,
+    now: float,
+    organisation: str = "a",
+    importance: Importance = Importance.NORMAL,
+    deadline_s: float = 2.0,
+    depth: int = 1,
+) -> CallContext:
+    return CallContext(
+        call_id=f"{organisation}-{number}",
+        organisation=organisation,
+        profile="p",
+        service="fees",
+        importance=importance,
+        deadline=now + deadline_s,
+        allowance=RetryAllowance(0),
+        depth=depth,
+    )
+
+
+class Driver:
+    """Carries out actions and checks what holds for every call."""
+
+    def __init__(self, slots: int, capacity: int) -> None:
+        self.admission = Admission(FixedLimit(slots), Random(1), capacity)
+        self.slots = slots
+        self.now = 0.0
+        self.waiting: dict[str, CallContext] = {}
+        self.running: list[str] = []
+        self.settled: Counter[str] = Counter()
+
+    def offer(self, call: CallContext) -> None:
+        self.waiting[call.call_id] = call
+        self.apply(self.admission.offer(call, self.now))
+
+    def finish(self, index: int, latency_s: float, ok: bool) -> None:
+        if self.running:
+            call_id = self.running.pop(index % len(self.running))
+            self.apply(self.admission.finish(call_id, self.now, latency_s, ok))
+
+    def cancel(self, index: int) -> None:
+        if self.waiting:
+            call_id = list(self.waiting)[index % len(self.waiting)]
+            del self.waiting[call_id]
+            self.settled[call_id] += 1
+            self.apply(self.admission.cancel(call_id, self.now))
+
+    def apply(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            call = self.waiting.pop(action.call_id)
+            self.settled[call.call_id] += 1
+            if isinstance(action, Admit):
+                self.running.append(call.call_id)
+                better = [c for c in self.waiting.values() if rank(c) > rank(call)]
+                assert not better, f"{call} was admitted before {better}"
+            else:
+                check_refusal(action)
+        assert len(self.running) == self.admission.in_flight <= self.slots
+        assert len(self.waiting) == self.admission.waiting
+        assert not self.waiting or len(self.running) == self.slots, "a slot is idle"
+
+
+def rank(call: CallContext) -> tuple[int, bool]:
+    return call.importance, call.depth > 1
+
+
+def check_refusal(action: Refuse) -> None:
+    assert action.refusal.outcome is Outcome.NOT_RUN
+    assert action.refusal.retry_after_s is not None and action.refusal.retry_after_s > 0
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "offer", "offer", "finish", "cancel", "expire"]),
+        st.integers(0, 30),
+        st.sampled_from(Importance),
+        st.sampled_from("abc"),
+        st.integers(1, 3),
+        st.floats(0.0, 0.03),
+    ),
+    max_size=150,
+)
+
+
+class AdmissionTest(unittest.TestCase):
+    @settings(max_examples=300)
+    @given(EVENTS, st.integers(1, 3), st.integers(1, 12))
+    def test_each_call_is_settled_once_and_in_order(
+        self,
+        events: list[tuple[str, int, Importance, str, int, float]],
+        slots: int,
+        capacity: int,
+    ) -> None:
+        """A lost call hangs its caller; a wrong order sheds the important calls first."""
+        driver = Driver(slots, capacity)
+        for number, (kind, index, importance, organisation, depth, step_s) in enumerate(events):
+            driver.now += step_s
+            if kind == "offer":
+                deadline_s = 0.01 * (index + 1)
+                driver.offer(
+                    make_call(number, driver.now, organisation, importance, deadline_s, depth)
+                )
+            elif kind == "finish":
+                driver.finish(index, step_s, ok=depth > 1)
+            elif kind == "cancel":
+                driver.cancel(index)
+            else:
+                driver.apply(driver.admission.expire(driver.now))
+            self.assertLessEqual(driver.admission.waiting, capacity)
+        while driver.waiting:
+            expiry = driver.admission.next_expiry()
+            assert expiry is not None and expiry <= driver.now + 0.1 + 1e-9
+            driver.now = max(driver.now, expiry)
+            driver.apply(driver.admission.expire(driver.now))
+        self.assertIsNone(driver.admission.next_expiry())
+        self.assertEqual({1}, set(driver.settled.values()) or {1})
+
+    @settings(max_examples=10)
+    @given(st.integers(0, 999), st.sampled_from([10, 20]), st.floats(0.5, 0.9))
+    def test_surge_spares_organisations_within_their_share(
+        self, seed: int, slots: int, load: float
+    ) -> None:
+        """An organisation that sends 8 times its share must not have others refused."""
+        random = Random(seed)
+        service_s, end = 0.02, 5.0
+        share_per_s = slots / service_s / 4
+        arrivals = [
+            (at, organisation)
+            for organisation, rate in (("a", load), ("b", load), ("c", load), ("surge", 8.0))
+            for at in arrival_times(random, rate * share_per_s, end)
+        ]
+        admitted = run_open_loop(sorted(arrivals), slots, service_s)
+        offered = Counter(organisation for _, organisation in arrivals)
+        for organisation in "abc":
+            self.assertGreaterEqual(admitted[organisation], 0.99 * offered[organisation])
+        capacity = slots / service_s * end
+        self.assertGreaterEqual(admitted.total(), 0.95 * capacity)
+
+    def test_full_queue_gives_up_the_least_important(self) -> None:
+        """A full queue of unimportant calls must not keep an important call out."""
+        driver = Driver(slots=1, capacity=3)
+        for number in range(4):
+            driver.offer(make_call(number, 0.0, "a", Importance.NORMAL))
+        driver.offer(make_call(4, 0.0, "b", Importance.CRITICAL))
+        self.assertEqual({"a-1", "a-2", "b-4"}, set(driver.waiting))
+
+    def test_expected_time_does_not_lock_out_calls(self) -> None:
+        """A high estimate refuses every call; without new samples it has to fade."""
+        driver = Driver(slots=1, capacity=3)
+        driver.offer(make_call(0, 0.0))
+        driver.finish(0, 5.0, ok=True)
+        driver.offer(make_call(1, 0.0))
+        self.assertEqual([], driver.running)
+        driver.now = 10.0
+        driver.offer(make_call(2, driver.now))
+        self.assertEqual(["a-2"], driver.running)
+
+
+def arrival_times(random: Random, rate_per_s: float, end: float) -> list[float]:
+    times = [random.expovariate(rate_per_s)]
+    while times[-1] < end:
+        times.append(times[-1] + random.expovariate(rate_per_s))
+    return times[:-1]
+
+
+def run_open_loop(arrivals: list[tuple[float, str]], slots: int, service_s: float) -> Counter[str]:
+    """Run a target with a fixed service time and return the admitted calls by organisation."""
+    admission = Admission(FixedLimit(slots), Random(0))
+    finishes: list[tuple[float, str]] = []
+    admitted: Counter[str] = Counter()
+
+    def apply(now: float, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Admit):
+                admitted[action.call_id.split("-")[0]] += 1
+                heappush(finishes, (now + service_s, action.call_id))
+
+    def finish_until(end: float) -> None:
+        while finishes and finishes[0][0] <= end:
+            now, call_id = heappop(finishes)
+            apply(now, admission.finish(call_id, now, service_s, True))
+
+    for number, (at, organisation) in enumerate(arrivals):
+        finish_until(at)
+        apply(at, admission.expire(at))
+        apply(at, admission.offer(make_call(number, at, organisation), at))
+    finish_until(arrivals[-1][0] + 1.0)
+    return admitted
+
+
+class LevelControllerTest(unittest.TestCase):
+    def test_level_follows_shared_overload_and_falls_again(self) -> None:
+        """A level that never rises wastes work; one that never falls refuses without need."""
+        controller = LevelController()
+        for step in range(100):
+            controller.on_offer(Importance(step % 3), step * 0.01)
+            controller.on_refusal("ab"[step % 2])
+        self.assertGreater(controller.level.importance, Importance.SHEDDABLE)
+        for step in range(1_000):
+            controller.on_offer(Importance.NORMAL, 1.0 + step * 0.01)
+        self.assertEqual(OPEN, controller.level)
+
+    def test_single_surge_does_not_raise_the_level(self) -> None:
+        """The level refuses calls of all organisations, also of those within their share."""
+        controller = LevelController()
+        for step in range(1_000):
+            controller.on_offer(Importance.NORMAL, step * 0.01)
+            controller.on_refusal("surge")
+        self.assertEqual(OPEN, controller.level)
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_limit.py
@@ -0,0 +1,102 @@
+"""Guards against limits that stay low after a slow period or follow a queue inside the target."""
+
+from __future__ import annotations
+
+import unittest
+from heapq import heappop
+from heapq import heappush
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from pollenglade_core.limit import GradientLimit
+
+
+class SaturatedTarget:
+    """Keeps a limit in full use; calls slow down in proportion beyond `capacity` in flight."""
+
+    def __init__(self, limit: GradientLimit, capacity: int, base_s: float, seed: int) -> None:
+        self.limit = limit
+        self.capacity = capacity
+        self.base_s = base_s
+        self.random = Random(seed)
+        self.now = 0.0
+        self.peak = 0
+        self.running: list[tuple[float, float]] = []
+
+    def run(self, seconds: float, slowdown: float = 1.0) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            while len(self.running) < self.limit.limit:
+                self._start(slowdown)
+            self.now, started = heappop(self.running)
+            self.limit.on_finish(self.now, self.now - started, len(self.running) + 1, True)
+            self.peak = max(self.peak, self.limit.limit)
+
+    def _start(self, slowdown: float) -> None:
+        self.limit.on_start(self.now)
+        queueing = max(1.0, (len(self.running) + 1) / self.capacity)
+        latency_s = self.base_s * queueing * slowdown * self.random.uniform(0.8, 1.2)
+        heappush(self.running, (self.now + latency_s, self.now))
+
+
+class GradientLimitTest(unittest.TestCase):
+    @settings(max_examples=10)
+    @given(
+        st.sampled_from([10, 30, 100]),
+        st.floats(0.02, 0.05),
+        st.floats(3.0, 10.0),
+        st.floats(2.0, 20.0),
+        st.integers(0, 99),
+    )
+    def test_recovers_within_2_s(
+        self, slots: int, base_s: float, slowdown: float, slow_s: float, seed: int
+    ) -> None:
+        """A limit that stays low after a slow period prolongs the overload it answered."""
+        target = SaturatedTarget(GradientLimit(slots), slots, base_s, seed)
+        target.run(8.0)
+        target.run(slow_s, slowdown)
+        # The calls that began in the slow period still have to end.
+        target.run(base_s * slowdown * 1.2)
+        target.peak = 0
+        target.run(2.0)
+        self.assertGreaterEqual(target.peak, 0.9 * slots)
+
+    @settings(max_examples=5)
+    @given(st.sampled_from([10, 20]), st.floats(0.01, 0.03), st.integers(0, 99))
+    def test_false_hint_does_not_capture(self, capacity: int, base_s: float, seed: int) -> None:
+        """A baseline measured behind the queue of a false hint would justify that queue."""
+        target = SaturatedTarget(GradientLimit(capacity * 10), capacity, base_s, seed)
+        target.run(60.0)
+        target.peak = 0
+        target.run(20.0)
+        self.assertLessEqual(target.peak, 4 * capacity)
+        self.assertGreaterEqual(target.peak, capacity)
+
+    @settings(max_examples=50)
+    @given(
+        st.integers(-5, 2_000),
+        st.lists(
+            st.tuples(st.floats(0, 1), st.floats(0, 60), st.integers(1, 2_000), st.booleans()),
+            max_size=200,
+        ),
+    )
+    def test_limit_stays_in_bounds(
+        self, hint: int, finishes: list[tuple[float, float, int, bool]]
+    ) -> None:
+        """A limit of 0 would stop a target for ever."""
+        limit = GradientLimit(hint)
+        now = 0.0
+        for step, latency_s, in_flight, ok in finishes:
+            now += step
+            limit.on_finish(now, latency_s, in_flight, ok)
+            self.assertTrue(1 <= limit.limit <= 1_000)
+
+    def test_unused_limit_does_not_grow(self) -> None:
+        """A limit that grows while idle admits a whole surge at once."""
+        limit = GradientLimit(10)
+        for step in range(5_000):
+            limit.on_finish(step * 0.01, 0.01, 2, True)
+        self.assertEqual(10, limit.limit)
