Let organisations catch up on unused share in the queue

- A burst was served in turn with the surge, although its organisation had used less than its share before.

--- a/packages/pollenglade-core/src/pollenglade_core/fair_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/fair_queue.py
@@ -8,6 +8,7 @@
 from heapq import heapify
 from heapq import heappop
 from heapq import heappush
+from math import inf
 
 from .call import CallContext
 from .importance import Importance
@@ -17,6 +18,14 @@
 """Outdated heap entries that are tolerated before a heap is rebuilt."""
 
 
+CREDIT_CALLS = 8.0
+"""Calls that an organisation may catch up on after it used less than its share.
+
+Without it a burst shares the target equally with a surge, and a part of the burst exceeds the queue
+delay although its organisation stays within its share.
+"""
+
+
 @dataclass(slots=True)
 class Waiting:
     """A call in the queue; it is refused for `reason` once `expires_at` has passed."""
@@ -109,10 +118,11 @@
         return None if backlog is None else backlog.since
 
     def _activate(self, call: CallContext, now: float) -> _Backlog:
-        finish_tag = self._finish_tag_by_organisation.get(call.organisation, 0.0)
+        finish_tag = self._finish_tag_by_organisation.get(call.organisation, -inf)
         backlog = _Backlog(call.organisation, float(max(1, call.weight)), now)
         self._by_organisation[call.organisation] = backlog
-        self._take_turn(backlog, max(self._virtual_time, finish_tag))
+        credit = CREDIT_CALLS / backlog.weight
+        self._take_turn(backlog, max(self._virtual_time - credit, finish_tag))
         return backlog
 
     def _take_turn(self, backlog: _Backlog, start_tag: float) -> None:
