--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_routing.py
@@ -0,0 +1,165 @@
+"""Guards against routes that avoid healthy endpoints, follow false claims or leave the zone."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from heapq import heappop
+from heapq import heappush
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from pollenglade_core.endpoint import Endpoint
+from pollenglade_core.endpoint import EndpointState
+from pollenglade_core.endpoint import Route
+from pollenglade_core.outcome import Reason
+from pollenglade_core.routing import Router
+
+
+def make_endpoint(node: str, zone: str = "z1", slots: int = 10) -> Endpoint:
+    return Endpoint(node, "fees", zone, f"10.0.0.{node[1:]}:1", slots)
+
+
+class Traffic:
+    """Sends calls at a constant rate; `latency_s` and `refuses` give the behaviour by node."""
+
+    def __init__(self, endpoints: list[Endpoint], seed: int = 0) -> None:
+        self.router = Router("z1")
+        self.random = Random(seed)
+        self.now = 0.0
+        self.latency_s: Callable[[str], float] = lambda node: 0.02
+        self.refuses: Callable[[str], bool] = lambda node: False
+        self.running: list[tuple[float, int, Route, float]] = []
+        self.router.update(endpoints, 0.0)
+
+    def run(self, seconds: float, rate_per_s: float = 500.0) -> Counter[str]:
+        """Return the attempts by node."""
+        attempts: Counter[str] = Counter()
+        for number in range(int(seconds * rate_per_s)):
+            self.now += 1.0 / rate_per_s
+            while self.running and self.running[0][0] <= self.now:
+                at, _, route, latency_s = heappop(self.running)
+                self.router.on_finish(route, at, latency_s, ok=True)
+            route = self.pick()
+            attempts[route.node] += 1
+            self.router.on_start(route)
+            if self.refuses(route.node):
+                self.router.on_refusal(route, self.now, Reason.OVERLOADED)
+                continue
+            latency_s = self.latency_s(route.node)
+            heappush(self.running, (self.now + latency_s, number, route, latency_s))
+        return attempts
+
+    def pick(self) -> Route:
+        route = self.router.pick("fees", self.now, (), self.random)
+        assert isinstance(route, Route), route
+        return route
+
+
+class RouterTest(unittest.TestCase):
+    @settings(max_examples=100)
+    @given(
+        st.integers(1, 10),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["fail", "fail", "fail", "slow", "ok", "refuse", "update"]),
+                st.integers(0, 9),
+                st.floats(0.0, 3.0),
+            ),
+            max_size=150,
+        ),
+    )
+    def test_ejection_and_choice_stay_in_bounds(
+        self, count: int, events: list[tuple[str, int, float]]
+    ) -> None:
+        """A fault of the whole service must not eject it; a call never goes to a draining node."""
+        router, random, now = Router("z1"), Random(0), 0.0
+        ready = [make_endpoint(f"n{number}") for number in range(count)]
+        router.update(ready, now)
+        for kind, index, step_s in events:
+            now += step_s
+            if kind == "update":
+                ready = [make_endpoint(f"n{number}") for number in range(1 + index)]
+                draining = Endpoint("n99", "fees", "z1", "a", 99, EndpointState.DRAINING)
+                router.update([*ready, draining], now)
+            excluded = {"n0"} if len(ready) > 3 else set()
+            route = router.pick("fees", now, excluded, random)
+            assert isinstance(route, Route), route
+            self.assertIn(route.node, {endpoint.node for endpoint in ready} - excluded)
+            self.assertNotIn(route.node, router.ejected("fees", now))
+            router.on_start(route)
+            if kind == "refuse":
+                router.on_refusal(route, now, Reason.OVERLOADED)
+            else:
+                router.on_finish(route, now, 9.0 if kind == "slow" else 0.01, kind != "fail")
+            self.assertLessEqual(len(router.ejected("fees", now)), len(ready) // 3)
+
+    @given(st.integers(0, 99), st.sampled_from([20, 1_000_000]))
+    @settings(max_examples=5)
+    def test_claimed_slots_do_not_draw_load(self, seed: int, claim: int) -> None:
+        """A target that announces too many slots must not collect the calls of the others."""
+        endpoints = [make_endpoint("n0", slots=claim), *map(make_endpoint, ["n1", "n2", "n3"])]
+        attempts = Traffic(endpoints, seed).run(10.0)
+        # With twice the slots counted, the fair part is 2 of 5.
+        self.assertLessEqual(attempts["n0"], 0.5 * attempts.total())
+
+    @given(st.integers(0, 99), st.sampled_from([0.1, 2.0]))
+    @settings(max_examples=5)
+    def test_slow_endpoint_is_avoided_and_tried_again(self, seed: int, slow_s: float) -> None:
+        """Calls sent to a slow endpoint are late; one never tried again is lost capacity."""
+        traffic = Traffic([make_endpoint(f"n{number}") for number in range(4)], seed)
+        traffic.latency_s = lambda node: slow_s if node == "n0" else 0.02
+        traffic.run(5.0)
+        attempts = traffic.run(5.0)
+        self.assertLess(attempts["n0"], 0.125 * attempts.total())
+        traffic.latency_s = lambda node: 0.02
+        traffic.run(40.0)
+        attempts = traffic.run(5.0)
+        self.assertGreater(attempts["n0"], 0.15 * attempts.total())
+
+    @given(st.integers(0, 99))
+    @settings(max_examples=5)
+    def test_new_endpoint_ramps_up(self, seed: int) -> None:
+        """A cold target that gets its full part at once fails its first calls."""
+        endpoints = [make_endpoint(f"n{number}") for number in range(4)]
+        traffic = Traffic(endpoints[:3], seed)
+        traffic.run(5.0)
+        traffic.router.update(endpoints, traffic.now)
+        first = traffic.run(1.0)
+        self.assertLess(first["n3"], 0.1 * first.total())
+        traffic.run(9.0)
+        later = traffic.run(5.0)
+        self.assertGreater(later["n3"], 0.2 * later.total())
+
+    def test_spill_over_is_bounded_and_ends(self) -> None:
+        """All entry nodes of a zone leaving at once would overload the next zone."""
+        endpoints = [make_endpoint(f"n{n}", zone=f"z{1 + n // 3}") for n in range(6)]
+        traffic = Traffic(endpoints)
+        self.assertEqual(0, sum(traffic.run(3.0)[f"n{n}"] for n in (3, 4, 5)))
+        traffic.refuses = lambda node: node in ("n0", "n1", "n2")
+        previous = 0.0
+        for _ in range(30):
+            traffic.run(0.1)
+            self.assertLessEqual(traffic.router.spill("fees"), previous + 0.1 + 1e-9)
+            previous = traffic.router.spill("fees")
+        self.assertGreater(previous, 0.8)
+        traffic.refuses = lambda node: False
+        traffic.run(3.0)
+        self.assertEqual(0.0, traffic.router.spill("fees"))
+
+    def test_fast_failures_do_not_draw_calls(self) -> None:
+        """A target that fails within a millisecond looks faster than any that works."""
+        traffic = Traffic([make_endpoint("n0"), make_endpoint("n1")])
+        failed = 0
+        for _ in range(500):
+            traffic.run(0.002)
+            route = traffic.pick()
+            traffic.router.on_start(route)
+            ok = route.node != "n0"
+            failed += not ok
+            traffic.router.on_finish(route, traffic.now, 0.02 if ok else 0.001, ok)
+        self.assertLess(failed, 150)
