Check the rate bound of the fleet with a state machine

Cause: holders, borrowers and leases had no test, and a single bucket says nothing about takeovers, pauses or lost messages.

Ruled out: checking the sum per second (misses windows that straddle the border); float comparison (rounding hides an excess of one call). The check is exact over every window of the log. Ordinary borrowers alone do not show late expiry; the machine therefore also runs borrowers that hoard grants and spend them at the last moment.

--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/quota_fleet.py
@@ -0,0 +1,302 @@
+"""Simulated fleet of quota holders and borrowers with cuts, pauses, restarts and outages."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from collections.abc import Mapping
+from functools import partial
+from typing import Any
+
+from pollenglade_core.lease import ZoneLeases
+from pollenglade_core.lease_rows import ReadAnnouncement
+from pollenglade_core.lease_rows import ReadSlot
+from pollenglade_core.lease_rows import StoredSlotRow
+from pollenglade_core.lease_rows import WriteSlot
+from pollenglade_core.lease_rows import slot_of
+from pollenglade_core.quota import Account
+from pollenglade_core.quota import AskHolder
+from pollenglade_core.quota import Granted
+from pollenglade_core.quota import QuotaBorrower
+from pollenglade_core.quota import QuotaHolder
+from pollenglade_core.quota import Refused
+from pollenglade_core.quota import SettleHolder
+from pollenglade_core.quota import Spent
+from pollenglade_core.quota import zone_shares
+from pollenglade_core.quota_borrower import BorrowerAction
+
+TICK_S = 1 / 1024  # exact in binary, so that the check of windows has no rounding
+PLATFORM_TIMEOUT_S = 2.0
+
+Act = Callable[[], None]
+
+
+class Host:
+    """One process with its roles; a restart replaces all of them."""
+
+    def __init__(self, fleet: Fleet, name: str, incarnation: int) -> None:
+        self.name, self.zone, self.incarnation = name, name[0], incarnation
+        self.skew = fleet.random.randrange(0, 4096) / 64
+        self.paused_until = 0.0
+        self.isolated = False
+        self.leases = ZoneLeases(name, incarnation, fleet.slots)
+        self.holder = QuotaHolder(self.leases)
+        self.borrower = fleet.borrower_type(
+            f"{name}.{incarnation}", self.zone, fleet.zones, fleet.random
+        )
+
+
+class Fleet:
+    """Event loop of the simulation; `now` is true time, each host adds its own skew.
+
+    Host names start with the one letter of their zone. `spent` and `refused` log calls by account.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        hosts_by_zone: Mapping[str, int],
+        accounts: Mapping[Account, tuple[int, int]],
+        borrower_type: type[QuotaBorrower] = QuotaBorrower,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now = 64.0
+        self.zones = tuple(hosts_by_zone)
+        self.borrower_type = borrower_type
+        self.contracts = dict(accounts)
+        self.slots = sorted({slot_of(account.organisation) for account in accounts})
+        self.rows: dict[tuple[str, int], StoredSlotRow] = {}
+        self.announcements: dict[str, tuple[int, int]] = {}
+        self.cut_zones: set[str] = set()
+        self.zones_without_platform: set[str] = set()
+        self.loss = 0.0
+        self.max_delay_s = 4 * TICK_S
+        self.pause_rate = 0.0
+        self.spent: dict[Account, list[float]] = {account: [] for account in accounts}
+        self.refused: dict[Account, list[float]] = {account: [] for account in accounts}
+        self._events: list[tuple[float, int, Host | None, Act]] = []
+        self._count = 0
+        self.hosts: dict[str, Host] = {}
+        for zone, count in hosts_by_zone.items():
+            for index in range(count):
+                self.start(f"{zone}{index}", 1)
+
+    def start(self, name: str, incarnation: int) -> None:
+        """Start a process that remembers nothing; a former process of the name ends at once."""
+        host = self.hosts[name] = Host(self, name, incarnation)
+        for account in self.contracts:
+            self.configure(host, account)
+        self._repeat(host, 10.0, self._renew)
+        self._repeat(host, 0.5, self._advance_leases)
+        self._repeat(host, 1.0, self._gossip)
+        self._repeat(host, 0.125, lambda at: self._do(at, at.borrower.advance(self.clock(at))))
+
+    def configure(self, host: Host, account: Account) -> None:
+        """Apply the contract in force to one host."""
+        weights = {zone: index + 1 for index, zone in enumerate(self.zones)}
+        rate, burst = (zone_shares(n, self.zones, weights) for n in self.contracts[account])
+        host.holder.set_share(account, rate[host.zone], burst[host.zone], self.clock(host))
+
+    def call(self, name: str, account: Account) -> None:
+        """Let a call arrive at a host."""
+        host = self.hosts[name]
+        self._count += 1
+        call_id = f"{account.profile}/{account.organisation}/{self._count}"
+        self.after(
+            0.0,
+            host,
+            lambda: self._do(host, host.borrower.spend(account, call_id, self.clock(host))),
+        )
+
+    def run(self, length_s: float) -> None:
+        """Run all events that are due within `length_s`."""
+        until = self.now + length_s
+        while self._events and self._events[0][0] <= until:
+            self.now, _, host, act = heapq.heappop(self._events)
+            if host is not None and self.hosts[host.name] is not host:
+                continue
+            if host is not None and self.random.random() < self.pause_rate:
+                host.paused_until = self.now + self.random.randrange(1, 2048) * TICK_S
+            if host is not None and host.paused_until > self.now:
+                self.after(host.paused_until - self.now, host, act)
+            else:
+                act()
+        self.now = until
+
+    def clock(self, host: Host) -> float:
+        """Return the monotonic clock of a host."""
+        return self.now + host.skew
+
+    def after(self, delay_s: float, host: Host | None, act: Act) -> None:
+        """Run `act` after a delay, at a host when it is not paused, or at the platform."""
+        self._count += 1
+        heapq.heappush(self._events, (self.now + delay_s, self._count, host, act))
+
+    def _repeat(self, host: Host, period_s: float, act: Callable[[Host], None]) -> None:
+        def again() -> None:
+            act(host)
+            self.after(period_s, host, again)
+
+        self.after(self.random.randrange(0, 256) * TICK_S, host, again)
+
+    def _delay(self) -> float:
+        return self.random.randrange(1, int(self.max_delay_s / TICK_S) + 1) * TICK_S
+
+    def _connected(self, a: Host, b: Host | None) -> bool:
+        if a.isolated or (b is not None and b.isolated):
+            return False
+        if b is None:
+            return a.zone not in self.zones_without_platform
+        return a.zone == b.zone or not {a.zone, b.zone} & self.cut_zones
+
+    def _arrives(self, a: Host, b: Host | None) -> bool:
+        return self._connected(a, b) and self.random.random() >= self.loss
+
+    def _send(self, sender: Host, receiver: Host, act: Act) -> None:
+        """Deliver once, twice or not at all; the sender may pause before the message leaves."""
+
+        def leave() -> None:
+            for _ in range(2 if self.random.random() < self.loss else 1):
+                if self._arrives(sender, receiver):
+                    self.after(self._delay(), receiver, act)
+
+        self.after(0.0, sender, leave)
+
+    def _ask_platform(
+        self, host: Host, request: Callable[[], Any], answer: Callable[[Any], None], lost: Act
+    ) -> None:
+        """Run a request at the platform; the request or only its answer may be lost or late."""
+
+        def serve() -> None:
+            result = request() if self._arrives(host, None) else self
+            if result is self or not self._arrives(host, None):
+                self.after(PLATFORM_TIMEOUT_S, host, lost)
+            else:
+                self.after(self._delay(), host, lambda: answer(result))
+
+        self.after(0.0, host, lambda: self.after(self._delay(), None, serve))
+
+    def _peers(self, host: Host) -> list[Host]:
+        return [peer for peer in self.hosts.values() if peer.zone == host.zone and peer is not host]
+
+    def _announce(self, host: Host) -> None:
+        version = self.announcements.get(host.name, (0, 0))[1]
+        self.announcements[host.name] = (host.incarnation, version + 1)
+
+    def _renew(self, host: Host) -> None:
+        requested_at, alone = self.clock(host), not self._peers(host)
+        self._ask_platform(
+            host,
+            partial(self._announce, host),
+            lambda _: host.leases.on_renewed(requested_at, alone, self.clock(host)),
+            lambda: None,
+        )
+
+    def _advance_leases(self, host: Host) -> None:
+        live = [peer.name for peer in self._peers(host) if not peer.isolated]
+        for action in host.leases.advance(live, self.clock(host)):
+            if isinstance(action, ReadAnnouncement):
+                self._read_announcement(host, action.node)
+            else:
+                self._access_slot(host, action)
+
+    def _read_announcement(self, host: Host, node: str) -> None:
+        requested_at = self.clock(host)
+        self._ask_platform(
+            host,
+            lambda: self.announcements.get(node, (0, 0)),
+            lambda row: host.leases.on_announcement(
+                node, row[0], row[1], requested_at, self.clock(host)
+            ),
+            lambda: None,
+        )
+
+    def _access_slot(self, host: Host, action: ReadSlot | WriteSlot) -> None:
+        def request() -> Any:
+            key = (host.zone, action.slot)
+            current = self.rows.get(key)
+            version = current.version if current else 0
+            if isinstance(action, ReadSlot) or version != action.expected_version:
+                return current
+            self.rows[key] = StoredSlotRow(version + 1, action.row)
+            return version + 1
+
+        def answer(result: Any) -> None:
+            if isinstance(result, int):
+                host.leases.on_written(action.slot, result, self.clock(host))
+            else:
+                host.leases.on_row(action.slot, result, self.clock(host))
+
+        self._ask_platform(host, request, answer, lambda: host.leases.on_lost(action.slot))
+
+    def _gossip(self, host: Host) -> None:
+        peers = self._peers(host)
+        if not peers:
+            return
+        peer = self.random.choice(peers)
+        if peer.incarnation > 1 and self._connected(host, peer):
+            host.leases.on_connection_refused(peer.name, peer.incarnation - 1)
+        age_s = host.leases.zone_contact_age_s(self.clock(host))
+
+        def receive() -> None:
+            self._hear(peer, age_s)
+            back = peer.leases.zone_contact_age_s(self.clock(peer))
+            self._send(peer, host, lambda: self._hear(host, back))
+
+        self._send(host, peer, receive)
+
+    def _hear(self, host: Host, age_s: float | None) -> None:
+        if age_s is not None:
+            host.leases.on_zone_contact(age_s, self.clock(host))
+        host.leases.on_peer_heard(self.clock(host))
+
+    def _do(self, host: Host, actions: list[BorrowerAction]) -> None:
+        for action in actions:
+            if isinstance(action, AskHolder):
+                self._ask_holder(host, action)
+            elif isinstance(action, SettleHolder):
+                self._settle(host, action)
+            elif isinstance(action, Spent | Refused):
+                profile, organisation, _ = action.call_id.split("/")
+                log = self.spent if isinstance(action, Spent) else self.refused
+                log[Account(profile, organisation)].append(self.now)
+
+    def holder_of(self, zone: str, account: Account) -> Host | None:
+        """Return the process on the host that the slot row names."""
+        stored = self.rows.get((zone, slot_of(account.organisation)))
+        return self.hosts.get(stored.row.holder) if stored else None
+
+    def _settle(self, host: Host, action: SettleHolder) -> None:
+        holder = self.holder_of(action.zone, action.account)
+        if holder is not None:
+            self._send(
+                host,
+                holder,
+                lambda: holder.holder.settle(
+                    action.account, action.settlements, self.clock(holder)
+                ),
+            )
+
+    def _ask_holder(self, host: Host, action: AskHolder) -> None:
+        holder = self.holder_of(action.zone, action.ask.account)
+        request_id = action.ask.request_id
+        if holder is None:
+            unreachable = host.borrower.on_unreachable
+            self.after(
+                TICK_S, host, lambda: self._do(host, unreachable(request_id, self.clock(host)))
+            )
+            return
+
+        def receive() -> None:
+            answer = holder.holder.ask(action.ask, self.clock(holder))
+            self._send(holder, host, lambda: self._take(host, answer))
+
+        self._send(host, holder, receive)
+
+    def _take(self, host: Host, answer: Any) -> None:
+        now, borrower = self.clock(host), host.borrower
+        if isinstance(answer, Granted):
+            self._do(host, borrower.on_granted(answer.request_id, answer.tokens, now))
+        else:
+            self._do(host, borrower.on_denied(answer.request_id, answer.retry_after_s, now))
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -0,0 +1,176 @@
+"""Guards against spending above a contract, and against refusals within it, over a whole fleet."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from pollenglade_core.borrower_account import BorrowerAccount
+from pollenglade_core.quota import Account
+from pollenglade_core.quota import QuotaBorrower
+from pollenglade_core.quota import Spent
+from pollenglade_core.quota_borrower import BorrowerAction
+
+from .quota_fleet import TICK_S
+from .quota_fleet import Fleet
+from .quota_fleet import Host
+from .rate_window import excess
+
+FLEETS = ({"a": 3}, {"a": 3, "b": 2})
+ACCOUNTS = (Account("p", "abbey"), Account("p", "brook"))
+LARGEST = {ACCOUNTS[0]: (60, 12), ACCOUNTS[1]: (2, 30)}
+VICTIMS = st.sampled_from(["a8", "a9", "b8", "b9", "a0", "a1", "a2", "b0", "b1"])
+HOARD_S = 0.14  # above the 0.125 s between two calls of `advance`
+
+
+class HoardingBorrower(QuotaBorrower):
+    """Asks for all that it can get, spends at once or as late as it may, and reports nothing."""
+
+    def spend(self, account: Account, call_id: str, now: float) -> list[BorrowerAction]:
+        state = self._accounts.setdefault(account, BorrowerAccount())
+        if state.open_ask is not None:
+            return []
+        state.waiting = dict.fromkeys(map(str, range(30)))
+        ask = self._ask(account, state, self._source.choice(self._zones), now)
+        state.waiting.clear()
+        return [ask]
+
+    def on_granted(self, request_id: str, tokens: int, now: float) -> list[BorrowerAction]:
+        super().on_granted(request_id, tokens, now)
+        return self._spend_all(now, now) if self._name[1] == "0" else []
+
+    def advance(self, now: float) -> list[BorrowerAction]:
+        for request_id, request in list(self._requests_by_id.items()):
+            if now > request.sent_at + 1.0:
+                self._accounts[request.account].close_ask(request_id)
+        return self._spend_all(now, now + HOARD_S)
+
+    def _spend_all(self, now: float, expired_at: float) -> list[BorrowerAction]:
+        actions: list[BorrowerAction] = []
+        for account, state in self._accounts.items():
+            for held in state.slices:
+                if held.left(expired_at) == 0 or expired_at == now:
+                    spent = Spent(f"{account.profile}/{account.organisation}/0")
+                    actions += [spent] * held.left(now)
+                    held.spent += held.left(now)
+            state.slices = [held for held in state.slices if held.left(now)]
+        return actions
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Callers that send several times the rate while hosts, network and platform fail."""
+
+    @initialize(
+        seed=st.integers(0, 2**32),
+        quiet_s=st.sampled_from([2, 15]),
+        hosts_by_zone=st.sampled_from(FLEETS),
+        borrower_type=st.sampled_from([QuotaBorrower, HoardingBorrower]),
+    )
+    def begin(
+        self,
+        seed: int,
+        quiet_s: int,
+        hosts_by_zone: dict[str, int],
+        borrower_type: type[QuotaBorrower],
+    ) -> None:
+        self.fleet = Fleet(seed, hosts_by_zone, LARGEST, borrower_type)
+        self.fleet.run(quiet_s)
+
+    def victim(self, choice: str) -> Host:
+        """Return a host by name, or the holder of a slot by zone and number of the account."""
+        if choice in self.fleet.hosts:
+            return self.fleet.hosts[choice]
+        holder = self.fleet.holder_of(choice[0], ACCOUNTS[int(choice[1]) % 2])
+        return holder or self.fleet.hosts["a0"]
+
+    @rule(ticks=st.integers(1, 2048), calls=st.integers(0, 40))
+    def overload(self, ticks: int, calls: int) -> None:
+        for _ in range(calls):
+            name = self.fleet.random.choice(list(self.fleet.hosts))
+            self.fleet.call(name, self.fleet.random.choice(ACCOUNTS))
+        self.fleet.run(ticks * TICK_S)
+
+    @rule(length_s=st.sampled_from([1, 5, 11, 19, 31, 45]), calls_per_s=st.integers(0, 60))
+    def time_passes(self, length_s: int, calls_per_s: int) -> None:
+        for _ in range(length_s * 4):
+            self.overload(256, calls_per_s // 4)
+
+    @rule(choice=VICTIMS, length_s=st.sampled_from([0.5, 1, 4, 12, 21, 35, 61]))
+    def pause(self, choice: str, length_s: float) -> None:
+        self.victim(choice).paused_until = self.fleet.now + length_s
+
+    @rule(choice=VICTIMS)
+    def restart(self, choice: str) -> None:
+        host = self.victim(choice)
+        self.fleet.start(host.name, host.incarnation + 1)
+
+    @rule(choice=VICTIMS, isolated=st.booleans())
+    def isolate(self, choice: str, isolated: bool) -> None:
+        self.victim(choice).isolated = isolated
+
+    @rule(zones=st.sets(st.sampled_from("ab")))
+    def partition(self, zones: set[str]) -> None:
+        self.fleet.cut_zones = zones
+
+    @rule(zones=st.sets(st.sampled_from("ab")))
+    def platform_outage(self, zones: set[str]) -> None:
+        self.fleet.zones_without_platform = zones
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.3]),
+        delay=st.sampled_from([4, 64, 640]),
+        pause_rate=st.sampled_from([0.0, 0.001, 0.01]),
+    )
+    def weather(self, loss: float, delay: int, pause_rate: float) -> None:
+        self.fleet.loss = loss
+        self.fleet.max_delay_s = delay * TICK_S
+        self.fleet.pause_rate = pause_rate
+
+    @rule(account=st.sampled_from(ACCOUNTS), rate=st.integers(0, 60), burst=st.integers(0, 30))
+    def change_contract(self, account: Account, rate: int, burst: int) -> None:
+        largest_rate, largest_burst = LARGEST[account]
+        self.fleet.contracts[account] = (min(rate, largest_rate), min(burst, largest_burst))
+        for host in self.fleet.hosts.values():
+            delay_s = self.fleet.random.randrange(0, 7 * 1024) * TICK_S
+            self.fleet.after(delay_s, host, lambda h=host: self.fleet.configure(h, account))  # type: ignore[misc]
+
+    @invariant()
+    def no_window_exceeds_the_largest_contract(self) -> None:
+        for account, (rate, burst) in LARGEST.items():
+            assert excess(self.fleet.spent[account], rate, burst) == 0
+
+
+FleetTest = FleetMachine.TestCase
+FleetTest.settings = settings(max_examples=100, stateful_step_count=20)
+
+
+class CalmTest(unittest.TestCase):
+    def test_refusals_within_the_rate_are_rare(self) -> None:
+        """Slices parked at idle hosts would refuse calls that the contract allows."""
+        offered = refused = 0
+        for seed in range(3):
+            account = Account("p", "abbey")
+            fleet = Fleet(seed, {"a": 8, "b": 8, "c": 8, "d": 8}, {account: (200, 200)})
+            fleet.run(20.0)
+            weights = [2.0 ** -(index % 6) for index in range(len(fleet.hosts))]
+            level, last = 200.0, fleet.now
+            for _ in range(20 * 1024):
+                level = min(200.0, level + 200 * (fleet.now - last))
+                last = fleet.now
+                if fleet.random.random() < 0.8 * 200 * TICK_S and level >= 1.0:
+                    level -= 1.0
+                    offered += 1
+                    fleet.call(fleet.random.choices(list(fleet.hosts), weights)[0], account)
+                fleet.run(TICK_S)
+            fleet.run(1.0)
+            refused += len(fleet.refused[account])
+            self.assertEqual(0, excess(fleet.spent[account], 200, 200))
+        print(f"refused {refused} of {offered} calls within the rate")
+        self.assertGreater(offered, 8_000)
+        self.assertLessEqual(refused, offered * 0.001)
