Narrow the type of a commit result in a test

Ruled out: a cast, which would hide a wrong result.

Change: the result is narrowed by an assertion where it is used.

Measured: `make check` passes; test_net.test_configuration_store, 3 tests passed.

--- a/packages/pollenglade-net/tests/test_net/test_configuration_store.py
+++ b/packages/pollenglade-net/tests/test_net/test_configuration_store.py
@@ -102,12 +102,13 @@
             store, follower = bench.stores[0], ConfigurationHistory()
             for number in range(140):
                 result = await store.commit(publish(f"k{number}", str(number)))
-                assert isinstance(result, Committed), result
+                self.assertIsInstance(result, Committed)
                 if number % 50 == 0:
                     await store.refresh(follower)
             head = bench.stand_in.rows_by_name["configuration/head"].value
             self.assertLessEqual(len(head["changes"]), 64)
             late = ConfigurationHistory()
+            assert isinstance(result, Committed)
             for history in (late, follower):
                 await store.refresh(history)
                 self.assertEqual(140, history.current.version)
