Add the pollenglade command for operators

Cause: operators publish, change and withdraw profiles and keys while traffic flows, and have to learn which zones have a change in force.

Ruled out: checking settings by the argument parser, which reports one finding at a time, and tracebacks with local variables, which can hold a secret.

Change: command groups `profile`, `key`, `monitor` and the command `status`, with table and JSON output, dry runs, and exit codes for scripts (docs/cli.md). Changes that remove or alter something wait for the announced nodes and list zones and nodes that have not confirmed.

--- /dev/null
+++ b/packages/pollenglade-cli/src/pollenglade_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The pollenglade command for operators."""
--- /dev/null
+++ b/packages/pollenglade-cli/src/pollenglade_cli/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command by `python -m pollenglade_cli`."""
+
+from __future__ import annotations
+
+from .main import main
+
+main()
--- /dev/null
+++ b/packages/pollenglade-cli/src/pollenglade_cli/exit_codes.py
@@ -0,0 +1,19 @@
+"""Exit codes of the command; docs/cli.md lists them for scripts."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What a script can tell from the end of the command."""
+
+    OK = 0
+    INVALID = 2
+    CONFLICT = 3
+    PLATFORM_UNAVAILABLE = 4
+    UNKNOWN = 5
+    NOT_CONFIRMED = 6
+    NODES_DIFFER = 7
+    NOT_PUBLISHED = 8
+    UNREADABLE = 9
--- /dev/null
+++ b/packages/pollenglade-cli/src/pollenglade_cli/main.py
@@ -0,0 +1,26 @@
+"""Entry point of the `pollenglade` command."""
+
+from __future__ import annotations
+
+import typer
+
+from . import key_commands
+from . import monitor_commands
+from . import profile_commands
+from .status_command import status
+
+# Tracebacks must not show local variables: they can hold the secret of a key.
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Operate pollenglade: profiles, keys and what is in force.",
+)
+app.add_typer(profile_commands.app, name="profile")
+app.add_typer(key_commands.app, name="key")
+app.add_typer(monitor_commands.app, name="monitor")
+app.command()(status)
+
+
+def main() -> None:
+    """Run the command."""
+    app()
--- /dev/null
+++ b/packages/pollenglade-cli/src/pollenglade_cli/settings.py
@@ -0,0 +1,105 @@
+"""Settings by flags and `POLLENGLADE_*` variables; a flag takes precedence."""
+
+from __future__ import annotations
+
+import getpass
+import os
+from collections.abc import Mapping
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import typer
+from pydantic import Field
+from pydantic import ValidationError
+from pydantic import field_validator
+from pydantic_settings import BaseSettings
+from pydantic_settings import SettingsConfigDict
+
+from pollenglade_core.finding import Finding
+from pollenglade_core.finding import Findings
+from pollenglade_net.http_client import Address
+
+PREFIX = "POLLENGLADE_"
+
+# Values stay text until all settings are checked together, so that every finding is reported.
+PlatformOption = Annotated[
+    str | None, typer.Option("--platform", help="Address of the platform, host:port.")
+]
+ZoneOption = Annotated[str | None, typer.Option("--zone", help="Zone of this machine.")]
+OutputOption = Annotated[str | None, typer.Option("--output", help="'table' or 'json'.")]
+TimeoutOption = Annotated[
+    str | None, typer.Option("--timeout", help="Seconds for one request (default 2).")
+]
+WaitOption = Annotated[
+    str | None, typer.Option("--wait", help="Seconds to wait for the nodes (default 10).")
+]
+WhoOption = Annotated[
+    str | None, typer.Option("--who", help="Name recorded with a change (default: the user).")
+]
+DryRunOption = Annotated[
+    bool, typer.Option("--dry-run", help="Show what would change; commit nothing.")
+]
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return "unknown"
+
+
+class Settings(BaseSettings):
+    """All settings of the command."""
+
+    model_config = SettingsConfigDict(env_prefix=PREFIX, extra="forbid")
+
+    platform: str
+    zone: str = Field(default="", pattern=r"^[a-z0-9-]{0,63}$")
+    output: Literal["table", "json"] = "table"
+    timeout: float = Field(default=2.0, ge=0.05, le=60.0)
+    wait: float = Field(default=10.0, ge=0.0, le=600.0)
+    who: str = Field(default_factory=_user, min_length=1, max_length=100)
+
+    @field_validator("platform")
+    @classmethod
+    def _is_address(cls, value: str) -> str:
+        Address.parse(value)
+        return value
+
+    @property
+    def platform_address(self) -> Address:
+        """Address of the platform."""
+        return Address.parse(self.platform)
+
+
+def read_settings(flags: Mapping[str, str | None]) -> Settings | Findings:
+    """Return the settings, or every finding about flags and variables."""
+    given = {name: value for name, value in flags.items() if value is not None}
+    findings = _unknown_variables()
+    try:
+        settings = Settings(**given)  # type: ignore[arg-type]
+    except ValidationError as error:
+        details = error.errors(include_url=False)
+        return Findings((*findings, *(_finding(detail, given) for detail in details)))
+    return Findings(tuple(findings)) if findings else settings
+
+
+def _unknown_variables() -> list[Finding]:
+    known = {PREFIX + name.upper() for name in Settings.model_fields}
+    names = sorted(name for name in os.environ if name.upper().startswith(PREFIX))
+    return [
+        Finding(name, "is not a known setting; unset it or correct its name")
+        for name in names
+        if name.upper() not in known
+    ]
+
+
+def _finding(detail: Any, given: Mapping[str, str]) -> Finding:
+    name = str(detail["loc"][0])
+    flag, variable = f"--{name}", PREFIX + name.upper()
+    if detail["type"] == "missing":
+        return Finding(flag, f"is missing; give the flag or set {variable}")
+    place = flag if name in given else variable
+    text = str(detail["msg"]).removeprefix("Value error, ")
+    return Finding(place, f"{text[:1].lower()}{text[1:]}; correct the value")
--- /dev/null
+++ b/packages/pollenglade-cli/tests/test_cli/test_commands.py
@@ -0,0 +1,195 @@
+"""Guards against commands that report a change or a check wrongly to a script."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import tempfile
+import threading
+import unittest
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from typer.testing import CliRunner
+
+from pollenglade_cli.exit_codes import ExitCode
+from pollenglade_cli.main import app
+from pollenglade_core.configuration_head import Head
+from pollenglade_core.configuration_head import head_from_wire
+from pollenglade_core.configuration_history import ConfigurationHistory
+from pollenglade_core.keys import parse_key
+from pollenglade_emulator.platform_faults import Faults
+from pollenglade_emulator.platform_standin import PlatformStandIn
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import async_handler
+from pollenglade_net.platform_api import Row
+
+PROFILE = """
+name = "residencies"
+services = ["{service}"]
+[organisations.acme]
+rate_per_s = {rate}
+burst = 20
+"""
+
+
+class Fleet:
+    """A platform and nodes that report a fixed or the published configuration."""
+
+    def __init__(self) -> None:
+        self.platform = PlatformStandIn()
+        self.overrides_by_node: dict[str, dict[str, Any]] = {}
+        self._servers: list[HttpServer] = []
+
+    async def start(self) -> str:
+        """Start the platform and return its address."""
+        return str(await self.platform.start())
+
+    async def add_node(self, name: str, zone: str) -> None:
+        """Start a node and announce it."""
+
+        async def answer(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, [], json.dumps(self._status(name, zone)).encode())
+
+        server = HttpServer(async_handler(answer))
+        self._servers.append(server)
+        value = {"control_address": f"127.0.0.1:{await server.start('127.0.0.1', 0)}"}
+        row = Row(f"nodes/{zone}/{name}", 1, value, "x")
+        self.platform.rows_by_name[row.name] = row
+
+    def _status(self, name: str, zone: str) -> dict[str, Any]:
+        history = ConfigurationHistory()
+        row = self.platform.rows_by_name.get("configuration/head")
+        head = head_from_wire(row.value) if row else None
+        if isinstance(head, Head):
+            history.advance(1, head.changes)
+        status = {
+            "node": name,
+            "zone": zone,
+            "configuration_version": history.current.version,
+            "configuration_digest": history.digest(),
+        }
+        return status | self.overrides_by_node.get(name, {})
+
+    async def close(self) -> None:
+        """Stop all servers."""
+        for server in self._servers:
+            await server.close()
+        await self.platform.close()
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self) -> None:
+        # Commands run an event loop of their own, so the servers run on another thread.
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.fleet = Fleet()
+        variables = {"POLLENGLADE_PLATFORM": self.on_loop(self.fleet.start())}
+        variables |= {"POLLENGLADE_WAIT": "0", "POLLENGLADE_OUTPUT": "json"}
+        patch = mock.patch.dict(os.environ, variables, clear=True)
+        patch.start()
+        self.addCleanup(patch.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "profile.toml"
+        self.write()
+
+    def tearDown(self) -> None:
+        self.on_loop(self.fleet.close())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def on_loop(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine on the loop of the servers."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(10)
+
+    def write(self, service: str = "fees", rate: int = 10) -> None:
+        """Write the profile file."""
+        self.file.write_text(PROFILE.format(service=service, rate=rate))
+
+    def run_json(self, *arguments: str, code: ExitCode = ExitCode.OK) -> Any:
+        """Run a command, check its exit code and return what it printed."""
+        result = CliRunner().invoke(app, list(arguments))
+        self.assertEqual(code, result.exit_code, result.output)
+        return json.loads(result.output)
+
+    def test_profile_life(self) -> None:
+        """A dry run must change nothing; a second publish and an old revision must conflict."""
+        file = str(self.file)
+        self.run_json("profile", "publish", file, "--dry-run")
+        self.run_json("profile", "change", file, code=ExitCode.NOT_PUBLISHED)
+        self.assertEqual(1, self.run_json("profile", "publish", file)["version"])
+        other = self.run_json("profile", "publish", file, code=ExitCode.CONFLICT)["other"]
+        self.assertEqual(("publish", 1), (other["action"], other["revision"]))
+        self.write(rate=15)
+        expected = ["~ organisations.acme.rate_per_s: 10 -> 15"]
+        for flags in (["--dry-run"], []):
+            changed = self.run_json("profile", "change", file, *flags)
+            self.assertEqual(expected, changed["difference"])
+        stale = ("profile", "change", file, "--expected-revision", "1")
+        self.run_json(*stale, code=ExitCode.CONFLICT)
+        self.run_json(*stale, "--dry-run", code=ExitCode.CONFLICT)
+        shown = self.run_json("profile", "show", "residencies")
+        self.assertEqual((2, 15), (shown["revision"], shown["organisations"]["acme"]["rate_per_s"]))
+        self.run_json("profile", "withdraw", "residencies")
+        self.assertEqual([], self.run_json("profile", "list")["profiles"])
+
+    def test_findings_of_a_file(self) -> None:
+        """A profile with problems must not reach the platform."""
+        self.write(service="Fees!", rate=0)
+        found = self.run_json("profile", "publish", str(self.file), code=ExitCode.INVALID)
+        places = [item["place"] for item in found["findings"]]
+        self.assertEqual(["services[0]", "organisations.acme.rate_per_s"], places)
+
+    def test_secret_is_shown_once(self) -> None:
+        """A secret that is stored or listed could be read by anyone with access to the platform."""
+        published = self.run_json("key", "publish", "acme")
+        key = parse_key(published["key"])
+        assert key is not None
+        listed = json.dumps(self.run_json("key", "list"))
+        self.assertIn(key.id, listed)
+        stored = repr(self.fleet.platform.rows_by_name) + listed
+        self.assertNotIn(key.secret, stored)
+        self.run_json("key", "withdraw", key.id)
+        self.run_json("key", "withdraw", key.id, code=ExitCode.NOT_PUBLISHED)
+
+    def test_withdrawal_names_zones_that_have_not_confirmed(self) -> None:
+        """An operator must learn where a withdrawn key may still work."""
+        for name, zone in (("n1", "east"), ("n2", "east"), ("n3", "west")):
+            self.on_loop(self.fleet.add_node(name, zone))
+        self.fleet.overrides_by_node["n2"] = {"configuration_version": 0}
+        key_id = self.run_json("key", "publish", "acme")["key_id"]
+        result = self.run_json("key", "withdraw", key_id, code=ExitCode.NOT_CONFIRMED)
+        self.assertEqual(["west"], result["confirmed_zones"])
+        self.assertEqual(["east"], result["unconfirmed_zones"])
+        self.assertEqual(["n2"], [node["node"] for node in result["unconfirmed_nodes"]])
+
+    def test_verify_finds_nodes_that_differ_or_are_silent(self) -> None:
+        """A node with the right version and other content must not pass the monitor."""
+        self.run_json("profile", "publish", str(self.file))
+        for name in ("n1", "n2", "n3"):
+            self.on_loop(self.fleet.add_node(name, "east"))
+        self.assertEqual([], self.run_json("monitor", "verify")["findings"])
+        self.fleet.overrides_by_node["n1"] = {"configuration_digest": "00"}
+        self.fleet.overrides_by_node["n2"] = {"configuration_version": "not a number"}
+        ahead = {"configuration_version": 7, "configuration_digest": "00"}
+        self.fleet.overrides_by_node["n3"] = ahead
+        found = self.run_json("monitor", "verify", code=ExitCode.NODES_DIFFER)["findings"]
+        states = {item["node"]: item["state"] for item in found}
+        self.assertEqual({"n1": "differs", "n2": "silent", "n3": "differs"}, states)
+        self.assertEqual({"east": 3}, self.run_json("status")["nodes_by_zone"])
+
+    def test_outage_has_its_own_exit_code(self) -> None:
+        """A script must tell an outage and an unknown result from a refusal."""
+        self.fleet.platform.faults = Faults(down=True)
+        for command in (["status"], ["key", "publish", "acme"], ["monitor", "verify"]):
+            self.run_json(*command, code=ExitCode.PLATFORM_UNAVAILABLE)
+        self.fleet.platform.faults = Faults(lose_next_answers=2)
+        self.assertEqual(1, self.run_json("profile", "publish", str(self.file))["version"])
--- /dev/null
+++ b/packages/pollenglade-cli/tests/test_cli/test_settings.py
@@ -0,0 +1,30 @@
+"""Guards against settings that are ignored or reported one at a time."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from unittest import mock
+
+from pollenglade_cli.settings import Settings
+from pollenglade_cli.settings import read_settings
+from pollenglade_core.finding import Findings
+
+
+class SettingsTest(unittest.TestCase):
+    def test_all_findings_come_together(self) -> None:
+        """A misspelt variable must not be ignored, nor hide the other findings."""
+        variables = {"POLLENGLADE_PLATFROM": "a:1", "POLLENGLADE_TIMEOUT": "soon"}
+        with mock.patch.dict(os.environ, variables, clear=True):
+            result = read_settings({"output": "xml", "wait": "-1", "zone": None})
+        assert isinstance(result, Findings)
+        places = {"POLLENGLADE_PLATFROM", "POLLENGLADE_TIMEOUT", "--output", "--wait", "--platform"}
+        self.assertEqual(places, {item.place for item in result.items})
+
+    def test_flags_precede_variables(self) -> None:
+        """A variable that overrides a flag would send a change to another platform."""
+        variables = {"POLLENGLADE_PLATFORM": "a:1", "POLLENGLADE_ZONE": "north"}
+        with mock.patch.dict(os.environ, variables, clear=True):
+            result = read_settings({"platform": "b:2"})
+        assert isinstance(result, Settings)
+        self.assertEqual(("b:2", "north"), (result.platform, result.zone))
