Follow the profile's zones and the node's names in the command

`monitor verify` passed with no announced node, which a wrong platform address can cause.

Ruled out: keeping a second spelling for the address of the platform. The feed of a shared `SecretScanner` is no search for unrelated calls, because it keeps the end of the data of the call before; `holds` keeps nothing.

Change: `profile show` and differences include zones; the settings are `--platform-url` and `POLLENGLADE_PLATFORM_URL`; without an announced node `monitor verify` ends with 7 and a withdrawal or change with 6. Tests that ran without nodes now announce one. `SecretScanner.holds` is public.

--- a/packages/pollenglade-cli/src/pollenglade_cli/confirmation.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/confirmation.py
@@ -33,6 +33,9 @@
             {"node": a.node.name, "zone": a.node.zone, "problem": _problem(a)} for a in missing
         ],
     }
+    if not nodes:
+        note = "accepted, but no node is announced that could confirm it"
+        return Report({**data, "note": note}, f"{text}\n{note}", ExitCode.NOT_CONFIRMED)
     lines = [text, f"confirmed by zones: {', '.join(closed_zones) or 'none'}"]
     if missing:
         lines.append(f"not confirmed within {session.settings.wait:g} s by:")
--- a/packages/pollenglade-cli/src/pollenglade_cli/difference.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/difference.py
@@ -20,6 +20,7 @@
     return {
         "name": profile.name,
         "services": services,
+        "zones": dict(sorted(profile.zones.items())),
         "organisations": organisations,
         "rules": rules,
     }
--- a/packages/pollenglade-cli/src/pollenglade_cli/key_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/key_commands.py
@@ -33,7 +33,7 @@
 from .session import run
 from .settings import DryRunOption
 from .settings import OutputOption
-from .settings import PlatformOption
+from .settings import PlatformUrlOption
 from .settings import TimeoutOption
 from .settings import WaitOption
 from .settings import WhoOption
@@ -52,14 +52,20 @@
 def publish(
     organisation: OrganisationArgument,
     dry_run: DryRunOption = False,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
     who: WhoOption = None,
 ) -> None:
     """Publish a new key; its secret is shown once and cannot be shown again."""
-    flags = {"platform": platform, "zone": zone, "output": output, "timeout": timeout, "who": who}
+    flags = {
+        "platform_url": platform_url,
+        "zone": zone,
+        "output": output,
+        "timeout": timeout,
+        "who": who,
+    }
     run(flags, lambda session: _publish(session, organisation, dry_run))
 
 
@@ -67,7 +73,7 @@
 def withdraw(
     key_id: KeyIdArgument,
     dry_run: DryRunOption = False,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
@@ -76,7 +82,7 @@
 ) -> None:
     """Withdraw a key and list the zones that have confirmed it."""
     flags = {
-        "platform": platform,
+        "platform_url": platform_url,
         "zone": zone,
         "output": output,
         "timeout": timeout,
@@ -88,13 +94,13 @@
 
 @app.command("list")
 def list_keys(
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
 ) -> None:
     """List the published keys, without secrets."""
-    run({"platform": platform, "zone": zone, "output": output, "timeout": timeout}, _list)
+    run({"platform_url": platform_url, "zone": zone, "output": output, "timeout": timeout}, _list)
 
 
 async def _publish(session: Session, organisation: str, dry_run: bool) -> Report:
--- a/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
@@ -18,7 +18,7 @@
 from .session import run
 from .session import unavailable
 from .settings import OutputOption
-from .settings import PlatformOption
+from .settings import PlatformUrlOption
 from .settings import TimeoutOption
 from .settings import WaitOption
 from .settings import ZoneOption
@@ -33,7 +33,7 @@
 
 @app.command()
 def verify(
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
@@ -44,7 +44,7 @@
     Nodes may take up to --wait seconds to follow a change that has just been accepted.
     """
     flags = {
-        "platform": platform,
+        "platform_url": platform_url,
         "zone": zone,
         "output": output,
         "timeout": timeout,
@@ -93,6 +93,10 @@
         "nodes": len(nodes),
         "findings": findings,
     }
+    if not nodes:
+        # An empty list can come from a wrong platform address, so it must not pass the monitor.
+        text = f"version {published.version} is published, but no node is announced"
+        return Report(data, text, ExitCode.NODES_DIFFER)
     head = f"version {published.version} is published; {len(nodes)} nodes are announced"
     if not findings:
         return Report(data, f"{head}; all have it in force")
--- a/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
@@ -18,7 +18,6 @@
 from .session import Session
 
 NODE_PREFIX = "nodes/"
-LEFT_STATE = "left"
 MAX_CONCURRENT_REQUESTS = 64
 POLL_INTERVAL_S = 0.25
 
@@ -34,7 +33,7 @@
 
 class _Announcement(BaseModel):
     control_address: str
-    state: str = ""
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +56,7 @@
 
 
 async def announced_nodes(session: Session) -> list[AnnouncedNode] | Unavailable:
-    """Return the nodes whose rows are on the platform, without those that left."""
+    """Return the nodes whose rows are on the platform, without those that are leaving."""
     rows = await session.platform.read_prefix(NODE_PREFIX)
     if isinstance(rows, Unavailable):
         return rows
@@ -69,7 +68,7 @@
     zone, _, name = row.name.removeprefix(NODE_PREFIX).rpartition("/")
     try:
         announcement = _Announcement.model_validate(row.value)
-        if announcement.state == LEFT_STATE:
+        if announcement.leaving:
             return None
         return AnnouncedNode(name, zone, Address.parse(announcement.control_address))
     except ValueError:
--- a/packages/pollenglade-cli/src/pollenglade_cli/profile_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/profile_commands.py
@@ -32,7 +32,7 @@
 from .session import run
 from .settings import DryRunOption
 from .settings import OutputOption
-from .settings import PlatformOption
+from .settings import PlatformUrlOption
 from .settings import TimeoutOption
 from .settings import WaitOption
 from .settings import WhoOption
@@ -56,14 +56,20 @@
 def publish(
     file: FileArgument,
     dry_run: DryRunOption = False,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
     who: WhoOption = None,
 ) -> None:
     """Publish a new profile."""
-    flags = {"platform": platform, "zone": zone, "output": output, "timeout": timeout, "who": who}
+    flags = {
+        "platform_url": platform_url,
+        "zone": zone,
+        "output": output,
+        "timeout": timeout,
+        "who": who,
+    }
 
     async def command(session: Session) -> Report:
         profile = _read(file)
@@ -80,7 +86,7 @@
     file: FileArgument,
     expected_revision: RevisionOption = None,
     dry_run: DryRunOption = False,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
@@ -89,7 +95,7 @@
 ) -> None:
     """Change a published profile and wait until the zones confirm."""
     flags = {
-        "platform": platform,
+        "platform_url": platform_url,
         "zone": zone,
         "output": output,
         "timeout": timeout,
@@ -111,7 +117,7 @@
     name: NameArgument,
     expected_revision: RevisionOption = None,
     dry_run: DryRunOption = False,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
@@ -120,7 +126,7 @@
 ) -> None:
     """Withdraw a profile and wait until the zones confirm."""
     flags = {
-        "platform": platform,
+        "platform_url": platform_url,
         "zone": zone,
         "output": output,
         "timeout": timeout,
@@ -132,25 +138,25 @@
 
 @app.command("list")
 def list_profiles(
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
 ) -> None:
     """List the published profiles."""
-    run({"platform": platform, "zone": zone, "output": output, "timeout": timeout}, _list)
+    run({"platform_url": platform_url, "zone": zone, "output": output, "timeout": timeout}, _list)
 
 
 @app.command()
 def show(
     name: NameArgument,
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
 ) -> None:
     """Show a published profile."""
-    flags = {"platform": platform, "zone": zone, "output": output, "timeout": timeout}
+    flags = {"platform_url": platform_url, "zone": zone, "output": output, "timeout": timeout}
     run(flags, lambda session: _show(session, name))
 
 
@@ -230,11 +236,13 @@
     values = profile_values(profile)
     revision = configuration.revision(Kind.PROFILE, name)
     contracts = [[key, *c.values()] for key, c in values["organisations"].items()]
-    rules = [list(rule.values()) for rule in values["rules"]]
+    rules = [_rule_cells(rule) for rule in values["rules"]]
     text = "\n".join(
         [
             f"profile {name}, revision {revision}, services: {', '.join(profile.services)}",
             "",
+            aligned(("ZONE", "WEIGHT"), list(values["zones"].items())),
+            "",
             aligned(("ORGANISATION", "RATE/S", "BURST", "WEIGHT"), contracts),
             "",
             aligned(
@@ -246,6 +254,11 @@
     return Report({**values, "revision": revision, **_last_change(configuration, name)}, text)
 
 
+def _rule_cells(rule: dict[str, Any]) -> list[object]:
+    by_method = rule["idempotent"] is None
+    return [*{**rule, "idempotent": "by method" if by_method else rule["idempotent"]}.values()]
+
+
 def _last_change(configuration: Configuration, name: str) -> dict[str, str]:
     accepted = configuration.acceptance(Kind.PROFILE, name)
     if accepted is None:
--- a/packages/pollenglade-cli/src/pollenglade_cli/settings.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/settings.py
@@ -21,10 +21,11 @@
 from pollenglade_net.http_client import Address
 
 PREFIX = "POLLENGLADE_"
+SCHEME = "http://"
 
 # Values stay text until all settings are checked together, so that every finding is reported.
-PlatformOption = Annotated[
-    str | None, typer.Option("--platform", help="Address of the platform, host:port.")
+PlatformUrlOption = Annotated[
+    str | None, typer.Option("--platform-url", help="URL of the platform, http://host:port.")
 ]
 ZoneOption = Annotated[str | None, typer.Option("--zone", help="Zone of this machine.")]
 OutputOption = Annotated[str | None, typer.Option("--output", help="'table' or 'json'.")]
@@ -54,23 +55,25 @@
 
     model_config = SettingsConfigDict(env_prefix=PREFIX, extra="forbid")
 
-    platform: str
-    zone: str = Field(default="", pattern=r"^[a-z0-9-]{0,63}$")
+    platform_url: str
+    zone: str = Field(default="", pattern=r"^[a-z0-9.-]{0,63}$")
     output: Literal["table", "json"] = "table"
     timeout: float = Field(default=2.0, ge=0.05, le=60.0)
     wait: float = Field(default=10.0, ge=0.0, le=600.0)
     who: str = Field(default_factory=_user, min_length=1, max_length=100)
 
-    @field_validator("platform")
+    @field_validator("platform_url")
     @classmethod
-    def _is_address(cls, value: str) -> str:
-        Address.parse(value)
+    def _is_url(cls, value: str) -> str:
+        if not value.startswith(SCHEME):
+            raise ValueError("write it as http://host:port")
+        Address.parse(value.removeprefix(SCHEME).rstrip("/"))
         return value
 
     @property
     def platform_address(self) -> Address:
         """Address of the platform."""
-        return Address.parse(self.platform)
+        return Address.parse(self.platform_url.removeprefix(SCHEME).rstrip("/"))
 
 
 def read_settings(flags: Mapping[str, str | None]) -> Settings | Findings:
@@ -97,7 +100,7 @@
 
 def _finding(detail: Any, given: Mapping[str, str]) -> Finding:
     name = str(detail["loc"][0])
-    flag, variable = f"--{name}", PREFIX + name.upper()
+    flag, variable = "--" + name.replace("_", "-"), PREFIX + name.upper()
     if detail["type"] == "missing":
         return Finding(flag, f"is missing; give the flag or set {variable}")
     place = flag if name in given else variable
--- a/packages/pollenglade-cli/src/pollenglade_cli/status_command.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/status_command.py
@@ -13,19 +13,19 @@
 from .session import run
 from .session import unavailable
 from .settings import OutputOption
-from .settings import PlatformOption
+from .settings import PlatformUrlOption
 from .settings import TimeoutOption
 from .settings import ZoneOption
 
 
 def status(
-    platform: PlatformOption = None,
+    platform_url: PlatformUrlOption = None,
     zone: ZoneOption = None,
     output: OutputOption = None,
     timeout: TimeoutOption = None,
 ) -> None:
     """Show the published version and the announced nodes of each zone."""
-    run({"platform": platform, "zone": zone, "output": output, "timeout": timeout}, _status)
+    run({"platform_url": platform_url, "zone": zone, "output": output, "timeout": timeout}, _status)
 
 
 async def _status(session: Session) -> Report:
--- a/packages/pollenglade-cli/tests/test_cli/test_commands.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_commands.py
@@ -32,6 +32,7 @@
 PROFILE = """
 name = "residencies"
 services = ["{service}"]
+zones = {{east = 1}}
 [organisations.acme]
 rate_per_s = {rate}
 burst = 20
@@ -90,7 +91,7 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.fleet = Fleet()
-        variables = {"POLLENGLADE_PLATFORM": self.on_loop(self.fleet.start())}
+        variables = {"POLLENGLADE_PLATFORM_URL": "http://" + self.on_loop(self.fleet.start())}
         variables |= {"POLLENGLADE_WAIT": "0", "POLLENGLADE_OUTPUT": "json"}
         patch = mock.patch.dict(os.environ, variables, clear=True)
         patch.start()
@@ -123,6 +124,7 @@
     def test_profile_life(self) -> None:
         """A dry run must change nothing; a second publish and an old revision must conflict."""
         file = str(self.file)
+        self.on_loop(self.fleet.add_node("n1", "east"))
         self.run_json("profile", "publish", file, "--dry-run")
         self.run_json("profile", "change", file, code=ExitCode.NOT_PUBLISHED)
         self.assertEqual(1, self.run_json("profile", "publish", file)["version"])
@@ -150,6 +152,7 @@
 
     def test_secret_is_shown_once(self) -> None:
         """A secret that is stored or listed could be read by anyone with access to the platform."""
+        self.on_loop(self.fleet.add_node("n1", "east"))
         published = self.run_json("key", "publish", "acme")
         key = parse_key(published["key"])
         assert key is not None
@@ -174,6 +177,7 @@
     def test_verify_finds_nodes_that_differ_or_are_silent(self) -> None:
         """A node with the right version and other content must not pass the monitor."""
         self.run_json("profile", "publish", str(self.file))
+        self.run_json("monitor", "verify", code=ExitCode.NODES_DIFFER)
         for name in ("n1", "n2", "n3"):
             self.on_loop(self.fleet.add_node(name, "east"))
         self.assertEqual([], self.run_json("monitor", "verify")["findings"])
--- a/packages/pollenglade-cli/tests/test_cli/test_settings.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_settings.py
@@ -14,17 +14,23 @@
 class SettingsTest(unittest.TestCase):
     def test_all_findings_come_together(self) -> None:
         """A misspelt variable must not be ignored, nor hide the other findings."""
-        variables = {"POLLENGLADE_PLATFROM": "a:1", "POLLENGLADE_TIMEOUT": "soon"}
+        variables = {"POLLENGLADE_PLATFROM_URL": "http://a:1", "POLLENGLADE_TIMEOUT": "soon"}
         with mock.patch.dict(os.environ, variables, clear=True):
             result = read_settings({"output": "xml", "wait": "-1", "zone": None})
         assert isinstance(result, Findings)
-        places = {"POLLENGLADE_PLATFROM", "POLLENGLADE_TIMEOUT", "--output", "--wait", "--platform"}
+        places = {
+            "POLLENGLADE_PLATFROM_URL",
+            "POLLENGLADE_TIMEOUT",
+            "--output",
+            "--wait",
+            "--platform-url",
+        }
         self.assertEqual(places, {item.place for item in result.items})
 
     def test_flags_precede_variables(self) -> None:
         """A variable that overrides a flag would send a change to another platform."""
-        variables = {"POLLENGLADE_PLATFORM": "a:1", "POLLENGLADE_ZONE": "north"}
+        variables = {"POLLENGLADE_PLATFORM_URL": "http://a:1", "POLLENGLADE_ZONE": "north"}
         with mock.patch.dict(os.environ, variables, clear=True):
-            result = read_settings({"platform": "b:2"})
+            result = read_settings({"platform_url": "http://b:2"})
         assert isinstance(result, Settings)
-        self.assertEqual(("b:2", "north"), (result.platform, result.zone))
+        self.assertEqual(("http://b:2", "north"), (result.platform_url, result.zone))
--- a/packages/pollenglade-core/src/pollenglade_core/keys.py
+++ b/packages/pollenglade-core/src/pollenglade_core/keys.py
@@ -81,7 +81,7 @@
     alignment and in both alphabets, as in `Authorization: Basic`. Compressed, encrypted and
     line-wrapped base64 data is not seen.
     """
-    return SecretScanner(secret).feed(data)
+    return SecretScanner(secret).holds(data)
 
 
 class SecretScanner:
@@ -100,12 +100,13 @@
         return int(longest * 3**DECODE_ROUNDS) - 1
 
     def feed(self, chunk: bytes) -> bool:
-        """Return whether the secret ends in this chunk."""
+        """Return whether the secret is in this chunk or in the end of the chunks before it."""
         window = self._tail + chunk
         self._tail = window[-self.overlap :]
-        return self._holds(window)
+        return self.holds(window)
 
-    def _holds(self, data: bytes) -> bool:
+    def holds(self, data: bytes) -> bool:
+        """Return whether data holds the secret, without regard to the chunks before."""
         for _ in range(DECODE_ROUNDS):
             if any(needle in data for needle in self._needles):
                 return True
--- a/packages/pollenglade-core/src/pollenglade_core/profile_file.py
+++ b/packages/pollenglade-core/src/pollenglade_core/profile_file.py
@@ -16,7 +16,7 @@
 method = "POST"             # optional, "*"
 path = "/applications/*"    # optional, "*"
 importance = "critical"     # sheddable, normal, important, critical; optional, "normal"
-idempotent = false          # optional; by the method of the request: GET, HEAD, OPTIONS, PUT, DELETE
+idempotent = false          # optional; true for GET, HEAD, OPTIONS, PUT and DELETE
 extra_attempts = 0          # optional, 2
 deadline_ms = 5000          # optional, 2000
 """
--- a/packages/pollenglade-core/tests/test_core/test_keys.py
+++ b/packages/pollenglade-core/tests/test_core/test_keys.py
@@ -75,6 +75,8 @@
         secret, data = case
         self.assertTrue(find_secret(secret, data))
         scanner = SecretScanner(secret)
+        self.assertTrue(scanner.holds(data))
+        self.assertFalse(scanner.holds(b""), "data of one call must not count for the next")
         edges = [0, *sorted(cuts), max(900, len(data))]
         chunks = [data[a:b] for a, b in pairwise(edges)]
         self.assertTrue(any(scanner.feed(chunk) for chunk in chunks))
--- a/packages/pollenglade-core/tests/test_core/test_profile_file.py
+++ b/packages/pollenglade-core/tests/test_core/test_profile_file.py
@@ -34,7 +34,17 @@
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
 FIELD_NAMES = st.sampled_from(
-    ["name", "services", "zones", "organisations", "rules", "rate_per_s", "burst", "method", "importance"]
+    [
+        "name",
+        "services",
+        "zones",
+        "organisations",
+        "rules",
+        "rate_per_s",
+        "burst",
+        "method",
+        "importance",
+    ]
 )
 VALUES = st.recursive(
     SCALARS,
