Decode percent-encoding in C when searching for a secret

Ruled out: searching long bodies on another thread (the decision modules have none), and skipping long bodies (a target would see the key).

Change: the search decodes with the quoted-printable decoder after a translation that makes both agree where a secret can be; a property test compares it with `unquote_to_bytes` on cut and doubled escapes and line breaks. A commit that lost an answer no longer turns into `Unreadable`, which would hide that the change may be accepted.

--- a/packages/pollenglade-core/src/pollenglade_core/keys.py
+++ b/packages/pollenglade-core/src/pollenglade_core/keys.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
+import binascii
 import hashlib
 import hmac
 import re
 from dataclasses import dataclass
 from dataclasses import field
 from functools import cached_property
-from urllib.parse import unquote_to_bytes
 
 KEY_PREFIX = "pgk_"
 SECRET_BYTES = 32
@@ -112,10 +112,30 @@
                 return True
             if b"%" not in data:
                 return False
-            data = unquote_to_bytes(data)
+            data = _percent_decoded(data)
         return any(needle in data for needle in self._needles)
 
 
+# Quoted-printable differs from percent-encoding by its escape character and by line breaks.
+_TO_QUOTED = bytes.maketrans(b"%=\r\n", b"=\0\0\0")
+
+
+def _percent_decoded(data: bytes) -> bytes:
+    """Remove one layer of percent-encoding; `=` and line breaks that are not encoded become NUL.
+
+    NUL is in no form of a secret. The quoted-printable decoder is used because it runs in C:
+    `urllib.parse.unquote_to_bytes` takes about 0.25 s for 1 MB of escapes, for which the event loop
+    would stop.
+    """
+    quoted = data.translate(_TO_QUOTED)
+    # An encoded `=` could not be told from an escape character that encodes nothing.
+    quoted = quoted.replace(b"=3D", b"\0").replace(b"=3d", b"\0")
+    # The decoder takes `==` for one `=`, so the first is encoded. The second pass handles the
+    # pairs that the first left adjacent.
+    quoted = quoted.replace(b"==", b"=3D=").replace(b"==", b"=3D=")
+    return binascii.a2b_qp(quoted).replace(b"=", b"%")
+
+
 def _needles(secret: bytes) -> frozenset[bytes]:
     """Return the plain secret and its base64 forms.
 
--- a/packages/pollenglade-core/tests/test_core/test_keys.py
+++ b/packages/pollenglade-core/tests/test_core/test_keys.py
@@ -5,6 +5,7 @@
 import base64
 import unittest
 from itertools import pairwise
+from urllib.parse import unquote_to_bytes
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -83,6 +84,15 @@
         scanner = SecretScanner(secret)
         self.assertTrue(any(scanner.feed(bytes([byte])) for byte in data))
 
+    @given(st.text("%%%=\r\n_24536DdEeabA1", max_size=40).map(str.encode))
+    def test_search_agrees_with_plain_decoding(self, data: bytes) -> None:
+        """Escapes that are cut, doubled or next to line breaks must not hide a secret."""
+        layers = [data, unquote_to_bytes(data), unquote_to_bytes(unquote_to_bytes(data))]
+        # The alphabet has no base64 form of these secrets.
+        for secret in ("a", "1b", "4a1"):
+            expected = any(secret.encode() in layer for layer in layers)
+            self.assertEqual(expected, SecretScanner(secret).holds(data), secret)
+
     @given(SECRETS, st.binary(max_size=300))
     def test_other_data_passes(self, secret_bytes: bytes, data: bytes) -> None:
         """A part of a secret must not refuse a call; only the whole secret does."""
--- a/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
+++ b/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
@@ -90,7 +90,7 @@
             result = await self._try_commit(change)
             if isinstance(result, AnswerLost):
                 lost = result
-            elif isinstance(result, Unavailable):
+            elif isinstance(result, Unavailable | Unreadable):
                 return lost or result
             elif result is not None:
                 return result
