Bound the configuration head by bytes as well as by changes

Cause: relays read the head each second, and a node may use 7 KB/s for its control plane. 64 changes of profiles with 8 organisations and 10 rules make a head of 119 KB (trial).

Ruled out: a conditional read, which the platform's protocol does not have, and one object for each change, which costs a read for each change and relay.

--- a/packages/pollenglade-core/src/pollenglade_core/configuration_head.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration_head.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -22,13 +23,20 @@
 
 HEAD_ROW = "configuration/head"
 
+MAX_CHANGES_BYTES = 2_048
+"""Size of the changes after which a snapshot is due.
+
+Relays read the whole head each second and the control plane of a node may use 7 KB/s, while 64
+changes of profiles with 8 organisations have 119 KB.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Head:
     """Where the snapshot is and which changes follow it.
 
-    `earlier_operations` holds the versions of the changes of the interval before the snapshot by
-    operation id. A committer whose answer was lost finds its change there after a new snapshot.
+    `earlier_operations` holds the versions of the 64 changes before the snapshot by operation id. A
+    committer whose answer was lost finds its change there after a new snapshot.
     """
 
     snapshot_version: int = 0
@@ -44,7 +52,10 @@
     @property
     def needs_snapshot(self) -> bool:
         """Whether the next change should follow a new snapshot."""
-        return len(self.changes) >= SNAPSHOT_INTERVAL
+        if len(self.changes) >= SNAPSHOT_INTERVAL:
+            return True
+        sizes = (len(json.dumps(change_to_wire(change))) for change in self.changes)
+        return sum(sizes) >= MAX_CHANGES_BYTES
 
     def operations(self) -> dict[str, int]:
         """Return versions by operation id for the changes that the head knows."""
--- a/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
+++ b/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
@@ -80,7 +80,7 @@
         """Commit a change; repeats where a change of another name came first.
 
         A repeat with the same operation id finds the change that was already committed, as long as
-        the head knows it (64 to 128 changes).
+        the head knows it (at least the last 64 changes).
         """
         lost: AnswerLost | None = None
         for attempt in range(MAX_COMMIT_ATTEMPTS):
--- a/packages/pollenglade-net/tests/test_net/test_configuration_store.py
+++ b/packages/pollenglade-net/tests/test_net/test_configuration_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import unittest
 from collections import Counter
@@ -101,11 +102,13 @@
         async with Bench(1) as bench:
             store, follower = bench.stores[0], ConfigurationHistory()
             for number in range(140):
-                result = await store.commit(publish(f"k{number}", str(number)))
+                result = await store.commit(publish(f"k{number}", f"{number:032x}"))
                 self.assertIsInstance(result, Committed)
                 if number % 50 == 0:
                     await store.refresh(follower)
             head = bench.stand_in.rows_by_name["configuration/head"].value
+            # Relays read the head each second; a node has 7 KB/s for its whole control plane.
+            self.assertLess(len(json.dumps(head)), 7_000)
             self.assertLessEqual(len(head["changes"]), 64)
             late = ConfigurationHistory()
             assert isinstance(result, Committed)
@@ -113,7 +116,7 @@
                 await store.refresh(history)
                 self.assertEqual(140, history.current.version)
                 self.assertEqual(result.configuration.digest(), history.digest())
-            repeated = await store.commit(publish("k80", "80"))
+            repeated = await store.commit(publish("k80", f"{80:032x}"))
             assert isinstance(repeated, Committed)
             self.assertEqual(81, repeated.version)
 
