Say in JSON that no node is announced, and how a rule is idempotent

Ruled out: a finding without a node, which scripts that read node names would have to filter.

Change: the JSON has a `note`; differences show `by method`.

--- a/packages/pollenglade-cli/src/pollenglade_cli/difference.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/difference.py
@@ -48,6 +48,8 @@
         items = {f"{place}[{index}]": item for index, item in enumerate(value)}
     elif isinstance(value, list):
         return {place: ", ".join(map(str, value))}
+    elif value is None:
+        return {place: "by method"}
     else:
         return {place: str(value.value if isinstance(value, Enum) else value)}
     flat: dict[str, str] = {}
--- a/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
@@ -96,7 +96,7 @@
     if not nodes:
         # An empty list can come from a wrong platform address, so it must not pass the monitor.
         text = f"version {published.version} is published, but no node is announced"
-        return Report(data, text, ExitCode.NODES_DIFFER)
+        return Report({**data, "note": text}, text, ExitCode.NODES_DIFFER)
     head = f"version {published.version} is published; {len(nodes)} nodes are announced"
     if not findings:
         return Report(data, f"{head}; all have it in force")
