--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -1,4 +1,4 @@
-"""Development command: `python -m pollenglade_emulator <subcommand>`."""
+"""Development commands: `python -m pollenglade_emulator <command>`."""
 
 from __future__ import annotations
 
@@ -7,17 +7,20 @@
 from . import caller
 from . import cutting_proxy
 from . import target_standin
+from .platform_command import platform
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
-app.add_typer(target_standin.app)
-app.add_typer(cutting_proxy.app)
-app.add_typer(caller.app)
+app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 
 
 @app.callback()
-def main() -> None:
+def emulator() -> None:
     """Stand-ins, load tool and scenarios for development."""
 
 
+app.command()(platform)
+app.add_typer(target_standin.app)
+app.add_typer(cutting_proxy.app)
+app.add_typer(caller.app)
+
 if __name__ == "__main__":
     app()
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -168,7 +168,8 @@
     async def start_platform(self) -> Address:
         """Start the platform stand-in and return its address."""
         address = self.free_address()
-        command = ["-m", "pollenglade_emulator", "platform", "--listen", str(address)]
+        command = ["-m", "pollenglade_emulator", "platform"]
+        command += ["--host", address.host, "--port", str(address.port)]
         process = await self.start("platform", command)
         await self.wait_ready(process, address, "/table?prefix=none")
         return address
