--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -6,6 +6,7 @@
 
 from . import caller
 from . import cutting_proxy
+from . import demo
 from . import target_standin
 from .platform_command import platform
 
@@ -21,6 +22,7 @@
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
 app.add_typer(caller.app)
+app.add_typer(demo.app)
 
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/demo.py
@@ -0,0 +1,122 @@
+"""Subcommand `demo`: both workloads on a small fleet, a table, and a graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import Annotated
+
+import typer
+
+from .added_latency import AddedLatency
+from .added_latency import LatencyProbe
+from .added_latency import ProbePath
+from .deployments import RESIDENCIES
+from .deployments import SALAIRES
+from .fleet import Fleet
+from .fleet import start_fleet
+from .load import Load
+from .load import LoadSettings
+from .measures import Summary
+from .measures import summarise
+from .processes import NODE_MODULE
+from .processes import Processes
+from .report import latency_table
+from .report import summary_table
+from .workload import Deployment
+from .workload import Service
+
+ZONES = 2
+SCALE = 0.01
+"""Part of the planned load; one machine carries the targets, the nodes and the callers."""
+
+PROBED = Service("latency-probe", endpoints=ZONES, slots=20, connections=100)
+"""Service that only the latency probe calls.
+
+The other services have a few slots at this scale, and calls that wait for one would hide what a
+node adds.
+"""
+
+app = typer.Typer()
+
+
+def demo_deployments() -> list[Deployment]:
+    """Return both deployments, reduced to two zones with one endpoint per service in each."""
+    first, *others = (
+        entry.compact(ZONES, ZONES).scaled(SCALE) for entry in (RESIDENCIES, SALAIRES)
+    )
+    return [replace(first, services=(*first.services, PROBED)), *others]
+
+
+def probe_paths(fleet: Fleet, deployment: Deployment) -> list[ProbePath]:
+    """Return one path per endpoint of the probed service, through the node on its host."""
+    largest = max(deployment.organisations, key=lambda entry: entry.rate_per_s)
+    key = fleet.keys_by_deployment[deployment.name][largest.id]
+    return [
+        ProbePath(PROBED.name, member.node.caller, member.target.address, key)
+        for member in fleet.members_of(PROBED.name)
+    ]
+
+
+async def measure(
+    fleet: Fleet, deployments: list[Deployment], duration_s: float
+) -> tuple[dict[str, Summary], AddedLatency]:
+    """Run the loads of all deployments and the latency probe side by side."""
+    loads = [
+        Load(
+            LoadSettings(
+                deployment=deployment,
+                entries=fleet.entries(),
+                keys_by_organisation=fleet.keys_by_deployment[deployment.name],
+                duration_s=duration_s,
+                run_id=deployment.name,
+            )
+        )
+        for deployment in deployments
+    ]
+    probe = LatencyProbe(probe_paths(fleet, deployments[0]), "probe")
+    async with asyncio.TaskGroup() as group:
+        probing = group.create_task(probe.run(duration_s))
+        running = [group.create_task(load.run()) for load in loads]
+    executions = await fleet.executions()
+    summaries: dict[str, Summary] = {}
+    for deployment, task in zip(deployments, running, strict=True):
+        prefix = f"{deployment.name}-"
+        own = [entry for entry in executions if entry.request_id.startswith(prefix)]
+        summaries[deployment.name] = summarise(
+            task.result().records, own, deployment.organisations_by_id, duration_s
+        )
+    return summaries, probing.result()
+
+
+async def run_demo(duration_s: float, node_module: str = NODE_MODULE) -> int:
+    """Run the demo and return its exit code."""
+    deployments = demo_deployments()
+    async with Processes(node_module) as processes:
+        typer.echo("starting platform, nodes and targets")
+        fleet = await start_fleet(processes, deployments)
+        typer.echo(f"{len(fleet.members)} nodes with targets; load for {duration_s:.0f} s")
+        summaries, latency = await measure(fleet, deployments, duration_s)
+        typer.echo(summary_table(summaries))
+        typer.echo(latency_table(latency))
+        codes = await processes.stop_all()
+    failed = {name: code for name, code in codes.items() if code != 0}
+    wrong = sum(summary.wrong for summary in summaries.values()) + latency.wrong
+    good = all(summary.goodput_per_s > 0 for summary in summaries.values())
+    typer.echo(f"{len(codes) - len(failed)} of {len(codes)} processes exited 0")
+    for name, code in failed.items():
+        typer.echo(f"{name} exited {code}; its output:\n{processes.by_name[name].output}")
+    if wrong:
+        typer.echo(f"{wrong} wrong responses")
+    if not good:
+        typer.echo("a workload had no goodput")
+    return 1 if failed or wrong or not good else 0
+
+
+@app.command()
+def demo(
+    duration_s: Annotated[float, typer.Option(min=1.0, max=120.0, help="Time of load.")] = 20.0,
+    node_module: Annotated[str, typer.Option(help="Module that runs a node.")] = NODE_MODULE,
+) -> None:
+    """Run both workloads on two zones and print what was measured."""
+    raise typer.Exit(asyncio.run(run_demo(duration_s, node_module)))
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -25,6 +25,7 @@
 STOP_TIMEOUT_S = 40.0
 """Time for a graceful stop; the drain limit of a node is 30 s."""
 
+NODE_MODULE = "pollenglade_node.main"
 KEPT_LINES = 2_000
 MAX_LINE_BYTES = 1024 * 1024
 PR_SET_PDEATHSIG = 1
@@ -122,7 +123,8 @@
 class Processes:
     """All processes of one test deployment, as an asynchronous context manager."""
 
-    def __init__(self) -> None:
+    def __init__(self, node_module: str = NODE_MODULE) -> None:
+        self._node_module = node_module
         self._ports = PortPool()
         self._client = HttpClient()
         self.by_name: dict[str, ManagedProcess] = {}
@@ -197,7 +199,7 @@
             "POLLENGLADE_PLATFORM_URL": f"http://{platform}",
             **(settings or {}),
         }
-        process = await self.start(name, ["-m", "pollenglade_node.main"], environment)
+        process = await self.start(name, ["-m", self._node_module], environment)
         await self.wait_ready(process, control, "/health")
         return NodeProcess(process, name, zone, caller, link, control)
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
@@ -80,11 +80,14 @@
 
 @dataclass(frozen=True)
 class Organisation:
-    """Contract and offered load of one organisation, in calls per second at the root."""
+    """Contract and offered load of one organisation, in calls per second at the root.
+
+    Rate and burst are whole numbers, as in a profile.
+    """
 
     id: str
-    rate_per_s: float
-    burst: float
+    rate_per_s: int
+    burst: int
     weight: int
     offered_per_s: float
 
@@ -162,14 +165,27 @@
         organisations = (
             replace(
                 organisation,
-                rate_per_s=organisation.rate_per_s * factor,
-                burst=max(1.0, organisation.burst * factor),
+                rate_per_s=math.ceil(organisation.rate_per_s * factor),
+                burst=math.ceil(organisation.burst * factor),
                 offered_per_s=organisation.offered_per_s * factor,
             )
             for organisation in self.organisations
         )
         return replace(self, services=tuple(services), organisations=tuple(organisations))
 
+    def compact(self, zones: int, endpoints: int) -> Deployment:
+        """Return the deployment with fewer zones and endpoints and the same slots in total."""
+        services = (
+            replace(
+                service,
+                endpoints=endpoints,
+                slots=math.ceil(service.slots * service.endpoints / endpoints),
+                connections=math.ceil(service.connections * service.endpoints / endpoints),
+            )
+            for service in self.services
+        )
+        return replace(self, zones=self.zones[:zones], services=tuple(services))
+
 
 def organisations(
     weights: Mapping[str, int], total_per_s: float, headroom: float = 1.5
@@ -179,8 +195,8 @@
     return tuple(
         Organisation(
             id=name,
-            rate_per_s=weight * unit * headroom,
-            burst=weight * unit * headroom * 2,
+            rate_per_s=math.ceil(weight * unit * headroom),
+            burst=math.ceil(weight * unit * headroom * 2),
             weight=weight,
             offered_per_s=weight * unit,
         )
