Stop the call tree of the retry test at the first excess attempt

Change: the walk raises as soon as attempts exceed first attempts plus the allowance, so that a fault in the accounting is reported with its inputs.

--- a/packages/pollenglade-core/tests/test_core/test_call_handles.py
+++ b/packages/pollenglade-core/tests/test_core/test_call_handles.py
@@ -109,10 +109,16 @@
         self.fan_out = fan_out
         self.fail = fail
         self.lose = lose
+        self.allowance = 0
         self.first_attempts = 0
         self.attempts = 0
         self.deepest = 0
 
+    def run(self, allowance: int) -> None:
+        """Run a root call with this allowance."""
+        self.allowance = allowance
+        self.call(context(allowance=allowance))
+
     def call(self, context: CallContext) -> bool:
         """Send a call and its retries from the entry node; return whether it succeeded."""
         self.first_attempts += 1
@@ -124,6 +130,9 @@
     def _attempt(self, context: CallContext) -> bool:
         """Run one attempt with a share lent to the serving node."""
         self.attempts += 1
+        # Without this check, a fault in the accounting would make the walk endless.
+        if self.attempts > self.first_attempts + self.allowance:
+            raise AssertionError("more attempts than first attempts plus allowance")
         self.deepest = max(self.deepest, context.depth)
         lent = context.allowance.lend()
         at_target = CallContext(
@@ -164,7 +173,7 @@
     ) -> None:
         """Retries at every hop would multiply with depth when responses fail or are lost."""
         tree = CallTree(random.Random(seed), fan_out, fail, lose)
-        tree.call(context(allowance=allowance))
+        tree.run(allowance)
         self.assertLessEqual(tree.attempts, tree.first_attempts + allowance)
 
     @given(st.integers(0, 2**32), st.integers(0, 40), st.integers(1, 3))
@@ -176,6 +185,6 @@
         Every attempt fails and no response is lost, so every retry is spent.
         """
         tree = CallTree(random.Random(seed), fan_out, fail=1.0, lose=0.0)
-        tree.call(context(allowance=allowance))
+        tree.run(allowance)
         self.assertEqual(MAX_DEPTH, tree.deepest)
         self.assertEqual(tree.first_attempts + allowance, tree.attempts)
