Add claims for non-idempotent calls

Cause: a payment or placement must run at most once although write responses are lost, entry nodes die or pause, and callers resend.

A running or lost call is answered as unknown, never as not-run.

A released row is claimed again by compare-and-set only. After an answer, the machine settles the row with reads at doubling delays.

--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/claims.py
@@ -0,0 +1,287 @@
+"""The claim of one non-idempotent call: at most one run, and truthful answers about it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from enum import Enum
+
+from .claim_messages import Answer
+from .claim_messages import AnswerLost
+from .claim_messages import ClaimAbsent
+from .claim_messages import ClaimAction
+from .claim_messages import ClaimEvent
+from .claim_messages import ClaimExists
+from .claim_messages import ClaimInserted
+from .claim_messages import DeadlinePassed
+from .claim_messages import InsertClaim
+from .claim_messages import OutcomeUnknown
+from .claim_messages import PlatformUnavailable
+from .claim_messages import ReadClaim
+from .claim_messages import RecordLost
+from .claim_messages import RecordOutcome
+from .claim_messages import RecordWritten
+from .claim_messages import ReleaseClaim
+from .claim_messages import RepeatArrived
+from .claim_messages import SendOnce
+from .claim_messages import TargetNotRun
+from .claim_messages import TargetResponded
+from .claim_row import ClaimRow
+from .claim_row import InvalidRow
+from .claim_row import RecordedResponse
+from .claim_row import RowState
+from .outcome import Outcome
+from .outcome import Reason
+from .outcome import Refusal
+from .randomness import RandomSource
+from .randomness import jittered
+
+RETRY_AFTER_S = 0.5
+"""Shortest time after which a caller is told to repeat."""
+
+MAX_INSERTS = 3
+"""Writes of a claim before the call is refused; each one follows a lost or outrun write."""
+
+MAX_SETTLE_READS = 12
+"""Reads to settle a row after the answer; with doubling delays they span about 4 minutes."""
+
+FIRST_SETTLE_DELAY_S = 0.1
+LONGEST_SETTLE_DELAY_S = 60.0
+
+
+class ClaimState(Enum):
+    """Where a claim machine stands."""
+
+    CLAIMING = "claiming"
+    READING = "reading"
+    READY = "ready"
+    SENT = "sent"
+    SETTLING = "settling"
+    CLOSED = "closed"
+
+
+class ClaimMachine:
+    """Decides for one request what to write, when to send and what to answer.
+
+    The node carries out one platform operation of a machine at a time and reports its result
+    before it starts the next one. It drops the machine when `closed` is true.
+    """
+
+    def __init__(self, row: ClaimRow, call_id: str, deadline: float, source: RandomSource) -> None:
+        self.state = ClaimState.CLAIMING
+        self.answer: Answer | None = None
+        self._row = row
+        self._call_id = call_id
+        self._deadline = deadline
+        self._source = source
+        self._version = 0
+        self._inserts = 0
+        self._in_doubt = False
+        self._settle_reads = 0
+        self._final = replace(row, state=RowState.RELEASED)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the caller has its answer and the row needs no further operation."""
+        return self.state is ClaimState.CLOSED
+
+    def start(self, now: float) -> list[ClaimAction]:
+        """Return the first actions."""
+        if now >= self._deadline:
+            return self._give_up(Reason.DEADLINE)
+        return self._insert(expected_version=0)
+
+    def permit_send(self, now: float) -> bool:
+        """Return whether the first byte may be sent now; true at most once.
+
+        The check belongs immediately before the write to the connection. A node that was paused
+        after claiming finds the deadline passed here and must deliver `DeadlinePassed`.
+        """
+        if self.state is not ClaimState.READY or now >= self._deadline:
+            return False
+        self.state = ClaimState.SENT
+        return True
+
+    def handle(self, event: ClaimEvent, now: float) -> list[ClaimAction]:
+        """Return the actions that follow from an event; late events are ignored."""
+        if isinstance(event, RepeatArrived):
+            return [self._answer_repeat(event)]
+        match self.state:
+            case ClaimState.CLAIMING | ClaimState.READING:
+                return self._before_claim(event, now)
+            case ClaimState.READY | ClaimState.SENT:
+                return self._with_claim(event)
+            case ClaimState.SETTLING:
+                return self._settle(event)
+            case ClaimState.CLOSED:
+                return []
+
+    def _before_claim(self, event: ClaimEvent, now: float) -> list[ClaimAction]:
+        match event:
+            case ClaimInserted(version):
+                return self._claimed(version, now)
+            case ClaimExists():
+                return self._on_row(event, now)
+            case ClaimAbsent():
+                return self._insert(expected_version=0)
+            case AnswerLost() if self.state is ClaimState.CLAIMING:
+                self._in_doubt = True
+                self.state = ClaimState.READING
+                return [ReadClaim(self._row.name)]
+            case AnswerLost() | PlatformUnavailable():
+                return self._give_up(Reason.CLAIM_UNAVAILABLE)
+            case DeadlinePassed():
+                # The operation that is under way reports its result to the settling state.
+                self.state = ClaimState.SETTLING
+                return [self._refuse(Reason.DEADLINE, detail=_NO_CLAIM)]
+        return []
+
+    def _on_row(self, event: ClaimExists, now: float) -> list[ClaimAction]:
+        row = event.row
+        if isinstance(row, InvalidRow):
+            return self._close(Reason.CLAIM_UNAVAILABLE, Outcome.UNKNOWN, row.detail)
+        if row.attempt_id == self._row.attempt_id and row.state is RowState.CLAIMED:
+            return self._claimed(event.version, now)
+        if row.fingerprint != self._row.fingerprint:
+            return self._close(Reason.IDEMPOTENCY_KEY_REUSED, detail=_KEY_REUSED)
+        if row.state is RowState.RELEASED:
+            return self._insert(event.version)
+        if row.state is RowState.CLAIMED and event.owner_running:
+            return self._close(Reason.IN_PROGRESS, Outcome.UNKNOWN, _STILL_RUNNING)
+        if row.response is None:
+            return self._close(Reason.LINK_FAILED, Outcome.UNKNOWN, _OUTCOME_LOST)
+        self.state = ClaimState.CLOSED
+        return [self._set_answer(_replay(row.response))]
+
+    def _insert(self, expected_version: int) -> list[ClaimAction]:
+        if self._inserts >= MAX_INSERTS:
+            return self._give_up(Reason.CLAIM_UNAVAILABLE)
+        self._inserts += 1
+        self.state = ClaimState.CLAIMING
+        # A repeated write has the same operation id, so that it takes effect once at most.
+        operation_id = f"{self._row.attempt_id}/claim/{expected_version}"
+        return [InsertClaim(self._row, operation_id, expected_version)]
+
+    def _claimed(self, version: int, now: float) -> list[ClaimAction]:
+        self._version = version
+        self.state = ClaimState.READY
+        if now >= self._deadline:
+            return self._finish(RowState.RELEASED, self._refusal(Reason.DEADLINE))
+        return [SendOnce(self._deadline)]
+
+    def _with_claim(self, event: ClaimEvent) -> list[ClaimAction]:
+        match event:
+            case TargetResponded(response) if self.state is ClaimState.SENT:
+                return self._finish(RowState.DONE, response)
+            case TargetNotRun(refusal):
+                refusal = replace(refusal, outcome=Outcome.NOT_RUN)
+                return self._finish(RowState.RELEASED, refusal)
+            case OutcomeUnknown(refusal):
+                return self._finish(RowState.UNKNOWN, replace(refusal, outcome=Outcome.UNKNOWN))
+            case DeadlinePassed() if self.state is ClaimState.READY:
+                return self._finish(RowState.RELEASED, self._refusal(Reason.DEADLINE))
+            case DeadlinePassed():
+                refusal = self._refusal(Reason.TIMEOUT, Outcome.UNKNOWN)
+                return self._finish(RowState.UNKNOWN, refusal)
+        return []
+
+    def _finish(self, state: RowState, result: RecordedResponse | Refusal) -> list[ClaimAction]:
+        response = result.for_row() if isinstance(result, RecordedResponse) else None
+        self._final = replace(self._row, state=state, response=response)
+        self.state = ClaimState.SETTLING
+        return [self._set_answer(result), self._write_final()]
+
+    def _write_final(self) -> ClaimAction:
+        row = self._final
+        operation_id = f"{row.attempt_id}/{row.state.value}/{self._version}"
+        if row.state is RowState.RELEASED:
+            return ReleaseClaim(row, operation_id, self._version)
+        return RecordOutcome(row, operation_id, self._version)
+
+    def _settle(self, event: ClaimEvent) -> list[ClaimAction]:
+        match event:
+            case RecordWritten():
+                self.state = ClaimState.CLOSED
+            case ClaimInserted(version):
+                self._version = version
+                return [self._write_final()]
+            case ClaimExists(row, version):
+                return self._settle_row(row, version)
+            case PlatformUnavailable() if self._version == 0 and not self._in_doubt:
+                self.state = ClaimState.CLOSED
+            case AnswerLost():
+                self._in_doubt = True
+                return self._read_later()
+            case ClaimAbsent() | RecordLost() | PlatformUnavailable():
+                return self._read_later()
+        return []
+
+    def _settle_row(self, row: ClaimRow | InvalidRow, version: int) -> list[ClaimAction]:
+        own = isinstance(row, ClaimRow) and row.attempt_id == self._row.attempt_id
+        if own and isinstance(row, ClaimRow) and row.state is RowState.CLAIMED:
+            self._version = version
+            return [self._write_final()]
+        self.state = ClaimState.CLOSED
+        return []
+
+    def _read_later(self) -> list[ClaimAction]:
+        if self._settle_reads >= MAX_SETTLE_READS:
+            self.state = ClaimState.CLOSED
+            return []
+        delay_s = min(LONGEST_SETTLE_DELAY_S, FIRST_SETTLE_DELAY_S * 2**self._settle_reads)
+        self._settle_reads += 1
+        return [ReadClaim(self._row.name, jittered(delay_s, self._source))]
+
+    def _give_up(self, reason: Reason) -> list[ClaimAction]:
+        answer = self._refuse(reason, detail=_NO_CLAIM)
+        if not self._in_doubt:
+            self.state = ClaimState.CLOSED
+            return [answer]
+        self.state = ClaimState.SETTLING
+        return [answer, *self._read_later()]
+
+    def _close(
+        self, reason: Reason, outcome: Outcome = Outcome.NOT_RUN, detail: str = ""
+    ) -> list[ClaimAction]:
+        self.state = ClaimState.CLOSED
+        return [self._refuse(reason, outcome, detail)]
+
+    def _refuse(
+        self, reason: Reason, outcome: Outcome = Outcome.NOT_RUN, detail: str = ""
+    ) -> Answer:
+        return self._set_answer(self._refusal(reason, outcome, detail))
+
+    def _refusal(
+        self, reason: Reason, outcome: Outcome = Outcome.NOT_RUN, detail: str = ""
+    ) -> Refusal:
+        repeatable = reason is not Reason.IDEMPOTENCY_KEY_REUSED
+        retry_after_s = jittered(RETRY_AFTER_S, self._source) if repeatable else None
+        return Refusal(reason, outcome, retry_after_s, detail)
+
+    def _set_answer(self, result: RecordedResponse | Refusal) -> Answer:
+        self.answer = Answer(self._call_id, result)
+        return self.answer
+
+    def _answer_repeat(self, event: RepeatArrived) -> Answer:
+        if event.fingerprint != self._row.fingerprint:
+            reused = self._refusal(Reason.IDEMPOTENCY_KEY_REUSED, detail=_KEY_REUSED)
+            return Answer(event.call_id, reused)
+        result = self.answer.result if self.answer else None
+        if isinstance(result, RecordedResponse):
+            return Answer(event.call_id, result)
+        if isinstance(result, Refusal) and result.outcome is not Outcome.NOT_RUN:
+            return Answer(event.call_id, result)
+        running = self._refusal(Reason.IN_PROGRESS, Outcome.UNKNOWN, _STILL_RUNNING)
+        return Answer(event.call_id, running)
+
+
+_KEY_REUSED = "the idempotency key belongs to a call with another content; use a new key"
+_STILL_RUNNING = "a call with this idempotency key is running; repeat it for its outcome"
+_OUTCOME_LOST = "the call with this idempotency key was sent or may have been; outcome not recorded"
+_NO_CLAIM = "this request did not run; an earlier one with the same idempotency key may have run"
+_BODY_NOT_KEPT = "the call ran; its response was too long to be recorded"
+
+
+def _replay(response: RecordedResponse) -> RecordedResponse | Refusal:
+    if response.body is None:
+        return Refusal(Reason.TARGET_FAILED, Outcome.RAN, detail=_BODY_NOT_KEPT)
+    return response
