--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_drain.py
@@ -0,0 +1,84 @@
+"""Guards against stops that cut off calls, end too early or never end."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.drain import DRAIN_LIMIT_S
+from pollenglade_core.drain import MIN_LINGER_S
+from pollenglade_core.drain import AnnounceLeaving
+from pollenglade_core.drain import Drain
+from pollenglade_core.drain import DrainEvent
+from pollenglade_core.drain import DrainState
+from pollenglade_core.drain import Exit
+from pollenglade_core.drain import RefuseNew
+from pollenglade_core.drain import RunningCalls
+from pollenglade_core.drain import SendDrainOnLinks
+from pollenglade_core.drain import StopRequested
+from pollenglade_core.drain import TargetDrain
+from pollenglade_core.drain import TargetLost
+from pollenglade_core.drain import TargetStarted
+from pollenglade_core.drain import TargetState
+from pollenglade_core.drain import Tick
+
+EVENTS = st.one_of(st.just(StopRequested()), st.just(Tick()), st.integers(0, 3).map(RunningCalls))
+STEPS = st.lists(st.tuples(EVENTS, st.floats(0, 5)), max_size=40)
+
+
+class DrainTest(unittest.TestCase):
+    @given(STEPS)
+    def test_exit_waits_for_calls_and_linger(self, steps: list[tuple[DrainEvent, float]]) -> None:
+        """An early exit cuts off calls; a late one holds up a restart for ever."""
+        drain, now, running, asked, free_at = Drain(), 0.0, 0, None, float("inf")
+        for event, delay in [*steps, (StopRequested(), 0.0), (Tick(), DRAIN_LIMIT_S)]:
+            now += delay
+            if isinstance(event, RunningCalls):
+                running = event.count
+            before = drain.state
+            actions = drain.handle(event, now)
+            if asked is None and isinstance(event, StopRequested):
+                asked = now
+                self.assertEqual([RefuseNew(), AnnounceLeaving(), SendDrainOnLinks()], actions[:3])
+            else:
+                self.assertNotIn(RefuseNew(), actions)
+            if Exit() in actions:
+                assert asked is not None
+                self.assertEqual(DrainState.LINGERING, before)
+                earliest = min(free_at, asked + DRAIN_LIMIT_S) + MIN_LINGER_S
+                self.assertGreaterEqual(now, earliest)
+            if asked is not None and running == 0:
+                free_at = min(free_at, now)
+        while drain.wake_at is not None:
+            now = max(now, drain.wake_at)
+            drain.handle(Tick(), now)
+        assert asked is not None
+        self.assertEqual(DrainState.CLOSED, drain.state)
+
+    def test_running_call_holds_the_node(self) -> None:
+        """A node that lingers while calls run would exit before they finish."""
+        drain = Drain()
+        drain.handle(RunningCalls(1), 0.0)
+        drain.handle(StopRequested(), 0.0)
+        drain.handle(Tick(), DRAIN_LIMIT_S - 0.1)
+        self.assertEqual(DrainState.LEAVING, drain.state)
+        drain.handle(RunningCalls(0), DRAIN_LIMIT_S - 0.1)
+        self.assertEqual([], drain.handle(Tick(), DRAIN_LIMIT_S + 2.8))
+        self.assertIn(Exit(), drain.handle(Tick(), DRAIN_LIMIT_S + 2.9))
+
+
+class TargetDrainTest(unittest.TestCase):
+    @given(st.integers(0, 3), st.booleans())
+    def test_only_a_new_incarnation_is_ready_again(self, started: int, lost: bool) -> None:
+        """A late announcement of readiness would send work to a target that is leaving."""
+        target = TargetDrain(incarnation=1)
+        target.handle(RunningCalls(1), 0.0)
+        actions = target.handle(TargetLost() if lost else StopRequested(), 0.0)
+        self.assertIn(RefuseNew(), actions)
+        self.assertEqual(TargetState.GONE if lost else TargetState.DRAINING, target.state)
+        target.handle(TargetStarted(started), 0.1)
+        self.assertEqual(started > 1, target.state is TargetState.READY)
+        target.handle(RunningCalls(0), 0.2)
+        self.assertEqual(started > 1, target.state is not TargetState.GONE)
