--- a/packages/pollenglade-core/src/pollenglade_core/call_handles.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call_handles.py
@@ -111,7 +111,8 @@
     """Derive the context of a call that a target makes while it runs `context`.
 
     `rule` is the profile's rule for the nested request, `concurrent` the number of nested calls
-    that share what remains of the allowance. A rule can lower importance, deadline and retries
+    that share what remains of the allowance. The importance is that of the parent, because a nested
+    call that is shed wastes the work of the calls above it. A rule can lower deadline and retries
     but never raise them above those of the parent.
     """
     if context.depth >= MAX_DEPTH:
@@ -124,12 +125,12 @@
         organisation=context.organisation,
         profile=context.profile,
         service=service,
-        importance=min(context.importance, rule.importance),
+        importance=context.importance,
         deadline=min(context.deadline, now + rule.deadline_ms / 1_000),
         allowance=type(context.allowance)(lent),
         weight=context.weight,
         depth=context.depth + 1,
-        idempotent=rule.idempotent,
+        idempotent=bool(rule.idempotent),
         fingerprint=fingerprint,
     )
     return NestedCall(child, lent)
--- a/packages/pollenglade-core/src/pollenglade_core/routing.py
+++ b/packages/pollenglade-core/src/pollenglade_core/routing.py
@@ -21,8 +21,8 @@
 class Router:
     """Endpoints by service, with this node's own measurements of each.
 
-    For each attempt the driver calls `on_start`, then exactly one of `on_finish`, `on_refusal` and
-    `on_failure`. Routes of endpoints that have left are ignored.
+    For each attempt the driver calls `on_start`, then exactly one of `on_finish`, `on_refusal`,
+    `on_failure` and `on_cancel`. Routes of endpoints that have left are ignored.
     """
 
     def __init__(self, zone: str) -> None:
@@ -74,6 +74,12 @@
         """Note that the link or the target failed, or that no response came for `waited_s`."""
         self.on_finish(route, now, waited_s, ok=False)
 
+    def on_cancel(self, route: Route) -> None:
+        """Note that an attempt was given up; it says nothing about the endpoint."""
+        found = self._find(route)
+        if found is not None:
+            found[0].on_cancel(found[1])
+
     def ejected(self, service: str, now: float) -> frozenset[str]:
         """Return the nodes whose endpoint of a service is ejected at the moment."""
         pool = self._pools_by_service.get(service)
--- a/packages/pollenglade-core/src/pollenglade_core/service_pool.py
+++ b/packages/pollenglade-core/src/pollenglade_core/service_pool.py
@@ -117,6 +117,10 @@
         if tracker.endpoint.zone == self._zone and not draining:
             self._refused += 1
 
+    def on_cancel(self, tracker: Tracker) -> None:
+        """End an attempt that was given up."""
+        tracker.in_flight -= 1
+
     def ejected(self, now: float) -> list[Tracker]:
         """Return the endpoints that are ejected at the moment."""
         return [tracker for tracker in self.trackers_by_node.values() if tracker.is_ejected(now)]
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -15,12 +15,15 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from multiprocessing.connection import Connection
+from time import monotonic
+from time import perf_counter
 from typing import Annotated
 from typing import Any
 
 import orjson
 import typer
 import uvloop
+
 from pollenglade_core.call import CallContext
 from pollenglade_core.importance import Importance
 from pollenglade_core.outcome import Refusal
@@ -105,14 +108,14 @@
         self.done.set_exception(ConnectionError(refusal.detail))
 
 
-def _context(loop: asyncio.AbstractEventLoop) -> CallContext:
+def _context() -> CallContext:
     return CallContext(
         call_id="n1.abc.17",
         organisation="gallery-north",
         profile="residencies",
         service="open-calls",
         importance=Importance.NORMAL,
-        deadline=perf_counter() + 2.0,
+        deadline=monotonic() + 2.0,
         allowance=RetryAllowance(2),
         fingerprint="0123456789abcdef0123456789abcdef",
     )
@@ -181,8 +184,7 @@
 
 
 async def _http_call(client: HttpClient, address: Address) -> None:
-    loop = asyncio.get_running_loop()
-    body = _json_request(_context(loop), REQUEST, perf_counter())
+    body = _json_request(_context(), REQUEST, monotonic())
     response = await client.request(address, "POST", "/call", body=body)
     assert not isinstance(response, HttpFailure)
     document = orjson.loads(response.body)
@@ -191,12 +193,11 @@
 
 async def _link_call(link: Link) -> None:
     sink = _FutureSink()
-    link.call(_context(asyncio.get_running_loop()), REQUEST, sink)
+    link.call(_context(), REQUEST, sink)
     assert await sink.done == RESPONSE_BODY
 
 
 async def _timed(call: Call, count: int, concurrent: int) -> list[float]:
-    loop = asyncio.get_running_loop()
     latencies: list[float] = []
 
     async def worker() -> None:
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+from time import monotonic
 from typing import Protocol
 from typing import cast
 
@@ -140,7 +141,7 @@
         self._open_by_stream: dict[int, _OpenCall] = {}
         self._peer_by_stream: dict[int, _PeerCall] = {}
         self._asked_by_stream: dict[int, Callable[[object], None]] = {}
-        self._last_received = self._loop.time()
+        self._last_received = monotonic()
         self._ping_sent: float | None = None
         self.peer: Hello | None = None
         self.ready: asyncio.Future[None] = self._loop.create_future()
@@ -174,7 +175,7 @@
         self._owner.on_link_closed(self)
 
     def data_received(self, data: bytes) -> None:
-        self._last_received = self._loop.time()
+        self._last_received = monotonic()
         try:
             self._unpacker.feed(data)
             for message in self._unpacker:
@@ -237,7 +238,7 @@
             self._receive_question(kind, stream, message)
 
     def _receive_request(self, stream: int, message: Sequence[object]) -> None:
-        context, request = unpack_request(message, self._loop.time())
+        context, request = unpack_request(message, monotonic())
         if stream in self._peer_by_stream:
             raise LinkError(f"stream {stream} is already open")
         peer_call = _PeerCall(self, stream)
@@ -308,7 +309,7 @@
         stream = self._take_stream()
         call = _OpenCall(self, stream, sink)
         self._open_by_stream[stream] = call
-        self.send(pack_request(stream, context, request, self._loop.time()))
+        self.send(pack_request(stream, context, request, monotonic()))
         return call
 
     def ask(self, topic: str, payload: object, callback: Callable[[object], None]) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/authentication.py
+++ b/packages/pollenglade-node/src/pollenglade_node/authentication.py
@@ -48,7 +48,9 @@
     def __init__(self) -> None:
         self._cached_by_digest: OrderedDict[bytes, _CachedKey] = OrderedDict()
 
-    def authenticate(self, request: HttpRequest, configuration: Configuration) -> Identity | Refusal:
+    def authenticate(
+        self, request: HttpRequest, configuration: Configuration
+    ) -> Identity | Refusal:
         """Return the identity behind the key of a request."""
         values = request.header_values(AUTHORIZATION)
         if not values:
@@ -90,9 +92,7 @@
         )
 
 
-def _verify(
-    value: bytes, configuration: Configuration
-) -> tuple[KeyRecord, ParsedKey] | Refusal:
+def _verify(value: bytes, configuration: Configuration) -> tuple[KeyRecord, ParsedKey] | Refusal:
     if value[: len(BEARER)].lower() != BEARER:
         return Refusal(Reason.KEY_MISSING, detail="send Authorization: Bearer <key>")
     key = parse_key(value[len(BEARER) :].strip().decode("ascii", "replace"))
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/claim_service.py
@@ -0,0 +1,239 @@
+"""Runs the claims of non-idempotent calls against the platform's table."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+from time import monotonic
+from typing import Any
+
+from pollenglade_core.claim_messages import Answer
+from pollenglade_core.claim_messages import AnswerLost
+from pollenglade_core.claim_messages import ClaimAbsent
+from pollenglade_core.claim_messages import ClaimAction
+from pollenglade_core.claim_messages import ClaimEvent
+from pollenglade_core.claim_messages import ClaimExists
+from pollenglade_core.claim_messages import ClaimInserted
+from pollenglade_core.claim_messages import DeadlinePassed
+from pollenglade_core.claim_messages import InsertClaim
+from pollenglade_core.claim_messages import OutcomeUnknown
+from pollenglade_core.claim_messages import PlatformUnavailable
+from pollenglade_core.claim_messages import ReadClaim
+from pollenglade_core.claim_messages import RecordLost
+from pollenglade_core.claim_messages import RecordWritten
+from pollenglade_core.claim_messages import RepeatArrived
+from pollenglade_core.claim_messages import SendOnce
+from pollenglade_core.claim_messages import TargetNotRun
+from pollenglade_core.claim_messages import TargetResponded
+from pollenglade_core.claim_row import ClaimRow
+from pollenglade_core.claim_row import InvalidRow
+from pollenglade_core.claim_row import RecordedResponse
+from pollenglade_core.claim_row import RowState
+from pollenglade_core.claim_row import hash_of_key
+from pollenglade_core.claims import ClaimMachine
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.randomness import RandomSource
+from pollenglade_net import platform_api
+from pollenglade_net.http_message import Headers
+from pollenglade_net.platform_api import Row
+from pollenglade_net.platform_api import Table
+from pollenglade_net.platform_api import Unavailable
+from pollenglade_net.platform_api import VersionConflict
+from pollenglade_net.platform_api import Written
+
+from .entry_call import EntryCall
+
+ClaimName = tuple[str, str]
+"""Organisation and hash of the idempotency key."""
+
+
+class ClaimService:
+    """Owner of the claim machines of one entry node.
+
+    `process` is the name of the node with its incarnation; `is_alive` tells whether another
+    process of that form may still run.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        table: Table,
+        is_alive: Callable[[str], bool],
+        source: RandomSource,
+    ) -> None:
+        self.process = process
+        self.table = table
+        self._is_alive = is_alive
+        self._source = source
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._runs_by_name: dict[ClaimName, _ClaimRun] = {}
+
+    def begin(self, call: EntryCall, idempotency_key: bytes) -> None:
+        """Claim the call, then let it run or answer it."""
+        key_hash = hash_of_key(idempotency_key.decode("latin-1"))
+        name = (call.context.organisation, key_hash)
+        running = self._runs_by_name.get(name)
+        if running is not None:
+            running.repeat(call)
+            return
+        row = ClaimRow(
+            call.context.organisation,
+            key_hash,
+            call.context.call_id,
+            call.context.fingerprint,
+            self.process,
+        )
+        machine = ClaimMachine(row, call.context.call_id, call.context.deadline, self._source)
+        run = _ClaimRun(self, name, machine, call)
+        self._runs_by_name[name] = run
+        run.start()
+
+    def is_owner_running(self, row: ClaimRow | InvalidRow, name: ClaimName) -> bool:
+        """Return whether the process that claimed a row may still run the call."""
+        if isinstance(row, InvalidRow) or row.state is not RowState.CLAIMED:
+            return False
+        if row.entry_node == self.process:
+            # The run that asks is another attempt, and there is one run for each name.
+            return False
+        return self._is_alive(row.entry_node)
+
+    def forget(self, name: ClaimName) -> None:
+        """Drop a run that needs no further operation."""
+        self._runs_by_name.pop(name, None)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in a task that `close` cancels."""
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a claim still needs the platform."""
+        return bool(self._runs_by_name)
+
+    async def close(self) -> None:
+        """Cancel what is left."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
+
+class _ClaimRun:
+    """Carries out the actions of one claim machine."""
+
+    def __init__(
+        self, service: ClaimService, name: ClaimName, machine: ClaimMachine, call: EntryCall
+    ) -> None:
+        self._service = service
+        self._name = name
+        self._machine = machine
+        self._call = call
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin with the claim."""
+        loop = asyncio.get_running_loop()
+        remaining_s = self._call.context.remaining_s(monotonic())
+        self._timer = loop.call_later(max(0.0, remaining_s), self._handle, DeadlinePassed())
+        self._apply(self._machine.start(monotonic()))
+
+    def repeat(self, call: EntryCall) -> None:
+        """Answer a resend that arrived while the claim is open at this node."""
+        event = RepeatArrived(call.context.call_id, call.context.fingerprint)
+        for action in self._machine.handle(event, monotonic()):
+            if isinstance(action, Answer):
+                _answer(call, action)
+
+    def _handle(self, event: ClaimEvent) -> None:
+        self._apply(self._machine.handle(event, monotonic()))
+
+    def _apply(self, actions: Sequence[ClaimAction]) -> None:
+        for action in actions:
+            if isinstance(action, Answer):
+                _answer(self._call, action)
+            elif isinstance(action, SendOnce):
+                self._send()
+            elif isinstance(action, ReadClaim):
+                self._service.spawn(self._read(action))
+            else:
+                self._service.spawn(
+                    self._write(
+                        action.row,
+                        action.operation_id,
+                        action.expected_version,
+                        claims=isinstance(action, InsertClaim),
+                    )
+                )
+        if self._machine.closed:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._service.forget(self._name)
+
+    def _send(self) -> None:
+        if not self._machine.permit_send(monotonic()):
+            self._handle(DeadlinePassed())
+            return
+        self._call.keeps_running = True
+        self._call.on_result = self._on_result
+        self._call.run()
+
+    def _on_result(
+        self, status: int, headers: Headers, body: bytes, refusal: Refusal | None
+    ) -> None:
+        if refusal is None:
+            pairs = tuple(
+                (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
+            )
+            self._handle(TargetResponded(RecordedResponse(status, pairs, body)))
+        elif refusal.outcome is Outcome.NOT_RUN:
+            self._handle(TargetNotRun(refusal))
+        else:
+            self._handle(OutcomeUnknown(refusal))
+
+    async def _read(self, action: ReadClaim) -> None:
+        if action.after_s > 0.0:
+            await asyncio.sleep(action.after_s)
+        result = await self._service.table.read(action.name)
+        if isinstance(result, Row):
+            self._handle(self._exists(result))
+        elif isinstance(result, Unavailable):
+            self._handle(PlatformUnavailable())
+        else:
+            self._handle(ClaimAbsent())
+
+    def _exists(self, row: Row) -> ClaimExists:
+        value = row.value if isinstance(row.value, dict) else {}
+        claim = ClaimRow.from_wire(value)
+        running = self._service.is_owner_running(claim, self._name)
+        return ClaimExists(claim, row.version, running)
+
+    async def _write(
+        self, row: ClaimRow, operation_id: str, expected_version: int, claims: bool
+    ) -> None:
+        result = await self._service.table.write(
+            row.name, row.to_wire(), expected_version, operation_id
+        )
+        if isinstance(result, Written):
+            self._handle(ClaimInserted(result.version) if claims else RecordWritten())
+        elif isinstance(result, VersionConflict):
+            self._handle(ClaimAbsent() if result.current is None else self._exists(result.current))
+        elif isinstance(result, platform_api.AnswerLost):
+            self._handle(AnswerLost() if claims else RecordLost())
+        else:
+            self._handle(PlatformUnavailable())
+
+
+def _answer(call: EntryCall, answer: Answer) -> None:
+    call.keeps_running = False
+    call.on_result = None
+    result = answer.result
+    if isinstance(result, Refusal):
+        call.finish_refused(result)
+        return
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in result.headers]
+    call.finish(result.status, headers, result.body or b"")
--- a/packages/pollenglade-node/src/pollenglade_node/configuration_sync.py
+++ b/packages/pollenglade-node/src/pollenglade_node/configuration_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 from urllib.parse import parse_qs
 
 import orjson
@@ -36,9 +37,7 @@
 class ConfigurationSync:
     """Owner of the configuration history; polls the platform as a relay and pulls from peers."""
 
-    def __init__(
-        self, store: ConfigurationStore, client: HttpClient, source: RandomSource
-    ) -> None:
+    def __init__(self, store: ConfigurationStore, client: HttpClient, source: RandomSource) -> None:
         self._store = store
         self._client = client
         self._source = source
@@ -74,7 +73,7 @@
 
     async def _refresh(self) -> None:
         before = self.version
-        requested_at = self._loop.time()
+        requested_at = monotonic()
         result = await self._store.refresh(self.history)
         if isinstance(result, Configuration):
             self.on_platform_contact(requested_at)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
@@ -0,0 +1,70 @@
+"""Spreads crash notices among the nodes that serve a service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from time import monotonic
+
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.quarantine import CrashNotice
+
+from .links import Links
+
+CRASH_TOPIC = "crash-notices"
+
+
+class CrashNotices:
+    """Sends notices to the nodes of a service and merges those of other nodes."""
+
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        links: Links,
+        nodes_of_service: Callable[[str], Sequence[str]],
+    ) -> None:
+        self._ledger = ledger
+        self._links = links
+        self._nodes_of_service = nodes_of_service
+
+    async def notify(self, service: str, notices: list[CrashNotice]) -> None:
+        """Send notices to every node of a service and return once all have answered."""
+        own = self._links.hello.node
+        nodes = [node for node in self._nodes_of_service(service) if node != own]
+        if nodes:
+            await asyncio.gather(*(self._tell(node, notices) for node in nodes))
+
+    async def _tell(self, node: str, notices: list[CrashNotice]) -> None:
+        answered: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+
+        def on_answer(answer: object) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        self._links.ask_node(node, CRASH_TOPIC, notices_to_wire(notices), on_answer)
+        answer = await answered
+        self._ledger.merge(notices_from_wire(answer), monotonic())
+
+    def answer(self, payload: object, answer: Callable[[object], None]) -> None:
+        """Merge the notices of another node and answer with those that clear some of them."""
+        cleared = self._ledger.merge(notices_from_wire(payload), monotonic())
+        answer(notices_to_wire(cleared))
+
+
+def notices_to_wire(notices: Sequence[CrashNotice]) -> list[list[object]]:
+    """Return notices as lists for the link."""
+    return [[item.crash_id, item.fingerprint, item.age_s, item.cleared] for item in notices]
+
+
+def notices_from_wire(value: object) -> list[CrashNotice]:
+    """Return the well-formed notices of a message; others are ignored."""
+    notices: list[CrashNotice] = []
+    for item in value if isinstance(value, list) else []:
+        if not isinstance(item, list) or len(item) < 4:
+            continue
+        crash_id, fingerprint, age_s, cleared = item[:4]
+        texts = isinstance(crash_id, str) and isinstance(fingerprint, str)
+        if texts and isinstance(age_s, int | float) and isinstance(cleared, bool):
+            notices.append(CrashNotice(crash_id, fingerprint, float(age_s), cleared))
+    return notices
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from time import monotonic
 from typing import Protocol
 
 from pollenglade_core.call import CallContext
@@ -35,6 +35,7 @@
 from .entry_call import EntryCall
 from .refusal_response import respond_refusal
 from .serving import Serving
+from .serving_call import Child
 
 RETRY_AFTER_S = 0.5
 RESERVED_PREFIX = b"pollenglade-"
@@ -122,6 +123,7 @@
         levels: SourceLevels,
         dispatcher: Dispatcher,
         quota: Quota,
+        claims: ClaimStore,
         counter: CallCounter,
         source: RandomSource,
     ) -> None:
@@ -132,7 +134,6 @@
         self.dispatcher = dispatcher
         self.counter = counter
         self.source = source
-        self.loop = asyncio.get_running_loop()
         self.configuration = Configuration()
         self.open_calls: set[EntryCall] = set()
         self._prefix = f"{node}.{incarnation:x}."
@@ -201,10 +202,10 @@
             profile=profile.name,
             service=route.service,
             importance=rule.importance,
-            deadline=self.loop.time() + rule.deadline_ms / 1000,
+            deadline=monotonic() + rule.deadline_ms / 1000,
             allowance=RetryAllowance(rule.extra_attempts),
             weight=contract.weight,
-            idempotent=rule.idempotent,
+            idempotent=bool(rule.idempotent),
             fingerprint=fingerprint_of(identity.organisation, route.service, forwarded),
         )
         call = self._open(exchange, context, forwarded)
@@ -233,7 +234,7 @@
             return
         handle = handles[0].decode("ascii", "replace")
         parent = self.serving.calls_by_handle.get(handle)
-        resolved = self.serving.handles.resolve(handle, self.loop.time())
+        resolved = self.serving.handles.resolve(handle, monotonic())
         if isinstance(resolved, Refusal) or parent is None:
             refusal = resolved if isinstance(resolved, Refusal) else None
             self._refuse(exchange, refusal or Refusal(Reason.HANDLE_UNKNOWN))
@@ -250,7 +251,7 @@
             self.next_call_id(),
             route.service,
             rule,
-            self.loop.time(),
+            monotonic(),
             concurrent=len(parent.children) + 1,
             fingerprint=fingerprint,
         )
@@ -288,9 +289,7 @@
             call.cancel()
 
 
-def _attach(
-    call: EntryCall, child: NestedCall, parent: CallContext, siblings: set[object]
-) -> None:
+def _attach(call: EntryCall, child: NestedCall, parent: CallContext, siblings: set[Child]) -> None:
     siblings.add(call)
 
     def on_closed(unspent: int | None) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -6,16 +6,17 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from time import monotonic
 from typing import TYPE_CHECKING
 
 from pollenglade_core.admission_level import AdmissionLevel
 from pollenglade_core.call import CallContext
+from pollenglade_core.endpoint import Route
 from pollenglade_core.importance import Importance
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
 from pollenglade_core.retry import RetryAllowance
-from pollenglade_core.routing import Route
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
@@ -64,8 +65,9 @@
         self._exchange = exchange
         self.context = context
         self.request = request
-        self.started_at = entry.loop.time()
+        self.started_at = monotonic()
         self.is_open = True
+        self.keeps_running = False
         self.abandon_wait: Callable[[], None] | None = None
         self.on_closed: Callable[[int | None], None] = lambda unspent: None
         self.on_result: Callable[[int, Headers, bytes, Refusal | None], None] | None = None
@@ -84,7 +86,7 @@
         self._send()
 
     def _send(self) -> None:
-        now = self._entry.loop.time()
+        now = monotonic()
         context = self.context
         if context.remaining_s(now) <= 0.0:
             self.finish_refused(Refusal(Reason.DEADLINE, detail="the deadline has passed"))
@@ -95,23 +97,21 @@
         if isinstance(route, Refusal):
             self.finish_refused(route)
             return
-        node = route.endpoint.node
+        node = route.node
         if self._entry.levels.refuses(
             node, context.service, context.importance, now, self._entry.source
         ):
             detail = "the service refuses calls of this importance at present"
             delay_s = self._entry.retry_after_s()
-            self.finish_refused(
-                Refusal(Reason.OVERLOADED, retry_after_s=delay_s, detail=detail)
-            )
+            self.finish_refused(Refusal(Reason.OVERLOADED, retry_after_s=delay_s, detail=detail))
             return
         self._start_attempt(route, now)
 
     def _start_attempt(self, route: Route, now: float) -> None:
-        node = route.endpoint.node
+        node = route.node
         self._route = route
         self._attempt_started_at = now
-        self._entry.router.on_start(route, now)
+        self._entry.router.on_start(route)
         # One attempt stays here, because a lost response takes the lent share with it.
         allowance = self.context.allowance
         self._lent = max(0, allowance.remaining - 1)
@@ -137,13 +137,13 @@
             Importance(min(max(feedback.level, 0), max(Importance))), feedback.level_fraction
         )
         self._entry.levels.learn(
-            route.endpoint.node, self.context.service, level, self._entry.loop.time()
+            route.node, self.context.service, level, monotonic(), self._entry.source
         )
         return route
 
     def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
         """Take a whole response."""
-        now = self._entry.loop.time()
+        now = monotonic()
         route = self._end_attempt(feedback)
         self._entry.router.on_finish(route, now, now - self._attempt_started_at, status < 500)
         self.finish(status, headers, body)
@@ -175,7 +175,7 @@
 
     def on_end(self, feedback: Feedback) -> None:
         """Take the end of a streamed response."""
-        now = self._entry.loop.time()
+        now = monotonic()
         route = self._end_attempt(feedback)
         self._entry.router.on_finish(route, now, now - self._attempt_started_at, True)
         collected, self._collected = self._collected, None
@@ -189,7 +189,8 @@
     def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
         """Take the reason why a streamed response broke off."""
         route = self._end_attempt(feedback)
-        self._entry.router.on_failure(route, self._entry.loop.time())
+        now = monotonic()
+        self._entry.router.on_failure(route, now, now - self._attempt_started_at)
         if self._collected is not None:
             self._collected = None
             self.finish_refused(refusal)
@@ -206,13 +207,13 @@
             self._on_unknown(refusal, feedback)
 
     def _on_not_run(self, refusal: Refusal, feedback: Feedback) -> None:
-        now = self._entry.loop.time()
+        now = monotonic()
         route = self._end_attempt(feedback)
         if refusal.reason is Reason.LINK_FAILED:
-            self._entry.router.on_failure(route, now)
+            self._entry.router.on_failure(route, now, now - self._attempt_started_at)
         else:
-            self._entry.router.on_refusal(route, now)
-        self._excluded.add(route.endpoint.node)
+            self._entry.router.on_refusal(route, now, refusal.reason)
+        self._excluded.add(route.node)
         if refusal.reason in REROUTED_REASONS and self._reroutes < MAX_REROUTES:
             self._reroutes += 1
             if self._may_send_again(refusal):
@@ -228,8 +229,9 @@
 
     def _on_unknown(self, refusal: Refusal, feedback: Feedback) -> None:
         route = self._end_attempt(feedback)
-        self._entry.router.on_failure(route, self._entry.loop.time())
-        self._excluded.add(route.endpoint.node)
+        now = monotonic()
+        self._entry.router.on_failure(route, now, now - self._attempt_started_at)
+        self._excluded.add(route.node)
         repeatable = self.context.idempotent and refusal.reason is not Reason.TIMEOUT
         if refusal.reason is Reason.TARGET_FAILED:
             repeatable = repeatable and self.context.crash_count == 0
@@ -245,7 +247,7 @@
 
     def _resend(self, refusal: Refusal) -> None:
         self.context.call_id = self._entry.next_call_id()
-        now = self._entry.loop.time()
+        now = monotonic()
         available = self._entry.router.pick(
             self.context.service, now, frozenset(self._excluded), self._entry.source
         )
@@ -284,11 +286,14 @@
         respond_refusal(self._exchange, refusal)
 
     def cancel(self) -> None:
-        """Give the call up; the caller has gone or the call above has ended."""
-        if not self.is_open:
+        """Give the call up; the caller has gone or the call above has ended.
+
+        A claimed call goes on, so that a repeat finds its outcome on record.
+        """
+        if not self.is_open or self.keeps_running:
             return
         if self._route is not None:
-            self._entry.router.on_cancel(self._route, self._entry.loop.time())
+            self._entry.router.on_cancel(self._route)
         if self._attempt is not None:
             self._attempt.cancel()
         if self.abandon_wait is not None:
@@ -297,7 +302,7 @@
         self._close(None)
 
     def _count(self, outcome: Outcome, reason: Reason | None) -> None:
-        elapsed_s = self._entry.loop.time() - self.started_at
+        elapsed_s = monotonic() - self.started_at
         self._entry.counter.finished(self.context, outcome, reason, elapsed_s)
 
     def _close(self, unspent: int | None) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -6,8 +6,10 @@
 import uuid
 from collections.abc import Callable
 from collections.abc import Sequence
+from time import monotonic
 
 import structlog
+
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.platform_api import Row
 from pollenglade_net.platform_api import Table
@@ -71,6 +73,14 @@
             item.node for item in self.by_node.values() if item.zone == zone and not item.leaving
         ]
 
+    def nodes_of_service(self, service: str) -> Sequence[str]:
+        """Return the nodes that announce a target of a service."""
+        return [
+            item.node
+            for item in self.by_node.values()
+            if any(target.service == service for target in item.targets)
+        ]
+
     async def start(self) -> None:
         """Start to announce and to read."""
         self._tasks = [
@@ -109,14 +119,14 @@
 
     async def _write(self) -> bool:
         self._renewal += 1
-        requested_at = self._loop.time()
+        requested_at = monotonic()
         name = row_name(self._zone, self._node)
         value = self.announcement().model_dump(mode="json")
         operation_id = uuid.uuid4().hex
         result = await self._table.write(name, value, self._row_version, operation_id)
         if isinstance(result, VersionConflict):
             self._row_version = 0 if result.current is None else result.current.version
-            requested_at = self._loop.time()
+            requested_at = monotonic()
             result = await self._table.write(name, value, self._row_version, operation_id)
         if not isinstance(result, Written):
             return False
@@ -132,7 +142,7 @@
             await asyncio.sleep(POLL_INTERVAL_S * self._source.uniform(0.9, 1.1))
 
     def _take(self, rows: Sequence[Row]) -> None:
-        now = self._loop.time()
+        now = monotonic()
         by_node: dict[str, NodeAnnouncement] = {}
         for row in rows:
             announcement = announcement_from_wire(row.value)
--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -4,7 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from dataclasses import dataclass
+from time import monotonic
+from typing import Any
 
 import structlog
 
@@ -91,7 +94,7 @@
         self._check()
 
     def _check(self) -> None:
-        now = self._loop.time()
+        now = monotonic()
         for link in [*self._link_by_node.values(), *self._accepted]:
             link.check(now)
         self._ticker = self._loop.call_later(CHECK_INTERVAL_S, self._check)
@@ -220,8 +223,8 @@
         """Whether calls are open on any link."""
         return any(link.is_busy for link in [*self._link_by_node.values(), *self._accepted])
 
-    def _spawn(self, coroutine: object) -> None:
-        task = self._loop.create_task(coroutine)  # type: ignore[arg-type]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/packages/pollenglade-node/src/pollenglade_node/main.py
+++ b/packages/pollenglade-node/src/pollenglade_node/main.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import signal
-import sys
 from typing import Annotated
 
 import typer
@@ -37,9 +36,7 @@
     link_address: Annotated[str | None, typer.Option(help=_help("link_address"))] = None,
     control_address: Annotated[str | None, typer.Option(help=_help("control_address"))] = None,
     platform_url: Annotated[str | None, typer.Option(help=_help("platform_url"))] = None,
-    concurrency_limit: Annotated[
-        str | None, typer.Option(help=_help("concurrency_limit"))
-    ] = None,
+    concurrency_limit: Annotated[str | None, typer.Option(help=_help("concurrency_limit"))] = None,
     drain_limit_s: Annotated[float | None, typer.Option(help=_help("drain_limit_s"))] = None,
     log_level: Annotated[str | None, typer.Option(help=_help("log_level"))] = None,
 ) -> None:
@@ -79,4 +76,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -5,16 +5,19 @@
 import asyncio
 import random
 import time
+from time import monotonic
 
 import structlog
+
 from pollenglade_core.call_handles import CallHandles
 from pollenglade_core.configuration import Configuration
+from pollenglade_core.endpoint import Endpoint
+from pollenglade_core.endpoint import EndpointState
 from pollenglade_core.limit import ConcurrencyLimit
 from pollenglade_core.limit import FixedLimit
 from pollenglade_core.limit import GradientLimit
 from pollenglade_core.limit import NoLimit
 from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.routing import Endpoint
 from pollenglade_core.routing import Router
 from pollenglade_core.source_levels import SourceLevels
 from pollenglade_net.configuration_store import ConfigurationStore
@@ -30,10 +33,14 @@
 from pollenglade_net.platform_client import PlatformClient
 
 from .announcement import AnnouncedTarget
+from .announcement import NodeAnnouncement
 from .call_counter import CallCounter
+from .claim_service import ClaimService
 from .configuration_sync import ConfigurationSync
 from .control import ControlApi
 from .control import add_target_route
+from .crash_notices import CRASH_TOPIC
+from .crash_notices import CrashNotices
 from .entry import Entry
 from .fleet import Fleet
 from .links import Links
@@ -61,6 +68,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._expiry: asyncio.TimerHandle | None = None
+        self._draining_by_node: dict[str, int] = {}
         # The start time orders incarnations of one node; a clock step back of the host can
         # repeat one, which the fencing by epochs and row versions tolerates.
         incarnation = time.time_ns() // 1_000_000
@@ -73,7 +81,12 @@
         self._platform = PlatformClient(platform, settings.zone, fast)
         self.ledger = CrashLedger()
         self.serving = Serving(
-            CallHandles(secure), self._pool, self._limit_of, fast, self.ledger
+            f"{settings.node}/{incarnation:x}",
+            CallHandles(secure),
+            self._pool,
+            self._limit_of,
+            fast,
+            self.ledger,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
         self.links = Links(hello, self.serving)
@@ -96,8 +109,12 @@
             self._platform,
             fast,
         )
+        self.crash_notices = CrashNotices(self.ledger, self.links, self.fleet.nodes_of_service)
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
+        self.claims = ClaimService(
+            f"{settings.node}/{incarnation:x}", self._platform, self._is_process_alive, fast
+        )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
         self.entry = Entry(
@@ -108,6 +125,7 @@
             SourceLevels(),
             self.links,
             self.quota,
+            self.claims,
             self.counter,
             fast,
         )
@@ -126,10 +144,12 @@
     def _connect_parts(self) -> None:
         self.links.answer_by_topic[ASK_TOPIC] = self.quota.answer_ask
         self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
-        self.links.on_peer_drain = self.router.on_drain
+        self.links.on_peer_drain = self._on_peer_drain
+        self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
+        self.serving.notify = self.crash_notices.notify
         self.fleet.on_change = self._on_fleet
         self.fleet.on_renewed = lambda requested_at, alone: self.quota.leases.on_renewed(
-            requested_at, alone, self._loop.time()
+            requested_at, alone, monotonic()
         )
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
@@ -140,12 +160,17 @@
         self._control.add("GET", "/health", self._health)
         self._control.add("GET", "/ready", self._ready)
 
+    def _is_process_alive(self, process: str) -> bool:
+        node, _, incarnation = process.rpartition("/")
+        known = self.fleet.by_node.get(node)
+        return known is not None and f"{known.incarnation:x}" == incarnation
+
     def _on_configuration(self, configuration: Configuration) -> None:
         self.entry.configuration = configuration
         self.quota.apply(configuration)
 
     def _on_targets(self) -> None:
-        now = self._loop.time()
+        now = monotonic()
         self.fleet.targets = tuple(
             AnnouncedTarget(target.service, target.slots, target.state.value)
             for target in self.serving.targets_by_address.values()
@@ -161,6 +186,13 @@
         }
         self._update_endpoints()
 
+    def _on_peer_drain(self, node: str, incarnation: int) -> None:
+        self._draining_by_node[node] = incarnation
+        self._update_endpoints()
+
+    def _is_leaving(self, item: NodeAnnouncement) -> bool:
+        return item.leaving or self._draining_by_node.get(item.node) == item.incarnation
+
     def _update_endpoints(self) -> None:
         announcements = {**self.fleet.by_node, self._settings.node: self.fleet.announcement()}
         self.router.update(
@@ -171,12 +203,14 @@
                     zone=item.zone,
                     address=item.link_address,
                     slots=target.slots,
-                    state="draining" if item.leaving else target.state,
+                    state=(
+                        EndpointState.DRAINING if self._is_leaving(item) else EndpointState.READY
+                    ),
                 )
                 for item in announcements.values()
                 for target in item.targets
             ],
-            self._loop.time(),
+            monotonic(),
         )
 
     async def start(self) -> None:
@@ -199,7 +233,7 @@
     async def stop_gracefully(self) -> None:
         """Refuse new work, tell all peers, let running calls end, release what is held."""
         log.info("node_draining")
-        started_at = self._loop.time()
+        started_at = monotonic()
         self.serving.draining = True
         self.fleet.leaving = True
         self.fleet.announce_now()
@@ -207,9 +241,9 @@
         self._caller_server.drain()
         self._update_endpoints()
         await self.quota.release(RELEASE_TIMEOUT_S)
-        while not self._is_drained(self._loop.time() - started_at):
+        while not self._is_drained(monotonic() - started_at):
             await asyncio.sleep(DRAIN_POLL_S)
-        log.info("node_drained", seconds=round(self._loop.time() - started_at, 1))
+        log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
     def _is_drained(self, elapsed_s: float) -> bool:
         if elapsed_s >= self._settings.drain_limit_s:
@@ -222,6 +256,7 @@
         if self._expiry is not None:
             self._expiry.cancel()
         await self.quota.close()
+        await self.claims.close()
         await self.fleet.close()
         await self.configuration.close()
         await self._caller_server.close()
@@ -234,7 +269,7 @@
 
     async def _status(self, request: HttpRequest) -> HttpResponse:
         current = self.configuration.history.current
-        now = self._loop.time()
+        now = monotonic()
         targets = [
             {
                 "service": target.service,
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -4,7 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
+from time import monotonic
+from typing import Any
 from typing import Protocol
 
 from pollenglade_core.configuration import Configuration
@@ -87,7 +90,7 @@
         self._name = f"{node}/{incarnation:x}"
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._timers: list[asyncio.TimerHandle] = []
+        self._timer_by_name: dict[str, asyncio.TimerHandle] = {}
         self._waiting_by_call: dict[str, Done] = {}
         self._holder_by_slot: dict[tuple[str, int], str] = {}
         self._borrowers_by_zones: dict[tuple[str, ...], QuotaBorrower] = {}
@@ -103,7 +106,7 @@
 
     def apply(self, configuration: Configuration) -> None:
         """Take the shares of this zone from a configuration."""
-        now = self._loop.time()
+        now = monotonic()
         accounts: set[Account] = set()
         for profile in configuration.profiles_by_name.values():
             if self._zone not in profile.zones:
@@ -135,7 +138,7 @@
         self._next_call += 1
         call_id = str(self._next_call)
         self._waiting_by_call[call_id] = done
-        self._apply(borrower, borrower.spend(account, call_id, self._loop.time()))
+        self._apply(borrower, borrower.spend(account, call_id, monotonic()))
         if call_id not in self._waiting_by_call:
             return None
 
@@ -206,7 +209,7 @@
         answer: object,
         redirected: bool,
     ) -> None:
-        now = self._loop.time()
+        now = monotonic()
         request_id = action.ask.request_id
         if not isinstance(answer, list) or len(answer) != 4:
             self._unreachable(borrower, request_id)
@@ -222,7 +225,7 @@
             self._apply(borrower, borrower.on_denied(request_id, wait_s, now))
 
     def _unreachable(self, borrower: QuotaBorrower, request_id: str) -> None:
-        self._apply(borrower, borrower.on_unreachable(request_id, self._loop.time()))
+        self._apply(borrower, borrower.on_unreachable(request_id, monotonic()))
 
     def _settle(self, action: SettleHolder) -> None:
         node = self._holder_of(action.zone, action.account.organisation)
@@ -236,7 +239,7 @@
         if ask is None:
             answer(None)
             return
-        now = self._loop.time()
+        now = monotonic()
         slot = slot_of(ask.account.organisation)
         if self.leases.hold(slot, now) is None:
             answer(["redirect", 0, ADVANCE_INTERVAL_S, self.leases.holder_of(slot)])
@@ -255,20 +258,21 @@
         account = _account_from_wire(payload[0])
         settlements = _settlements_from_wire(payload[1])
         if account is not None and settlements is not None:
-            self.holder.settle(account, settlements, self._loop.time())
+            self.holder.settle(account, settlements, monotonic())
 
     def _advance(self) -> None:
-        now = self._loop.time()
+        now = monotonic()
         for borrower in list(self._borrowers_by_zones.values()):
             self._apply(borrower, borrower.advance(now))
-        self._timers = [timer for timer in self._timers if timer.when() > now]
-        self._timers.append(self._loop.call_later(ADVANCE_INTERVAL_S, self._advance))
+        self._timer_by_name["borrowers"] = self._loop.call_later(ADVANCE_INTERVAL_S, self._advance)
 
     def _advance_leases(self) -> None:
         live = self._peers.live_nodes(self._zone)
-        for action in self.leases.advance(live, self._loop.time()):
+        for action in self.leases.advance(live, monotonic()):
             self._spawn(self._carry_out(action))
-        self._timers.append(self._loop.call_later(LEASE_INTERVAL_S, self._advance_leases))
+        self._timer_by_name["leases"] = self._loop.call_later(
+            LEASE_INTERVAL_S, self._advance_leases
+        )
 
     async def _carry_out(self, action: LeaseAction) -> None:
         if isinstance(action, ReadAnnouncement):
@@ -279,7 +283,7 @@
             await self._write_slot(action)
 
     async def _read_announcement(self, node: str) -> None:
-        requested_at = self._loop.time()
+        requested_at = monotonic()
         row = await self._table.read(row_name(self._zone, node))
         if isinstance(row, Unavailable):
             return
@@ -288,7 +292,7 @@
             announcement = announcement_from_wire(row.value)
             version = row.version
             incarnation = announcement.incarnation if announcement is not None else 0
-        now = self._loop.time()
+        now = monotonic()
         self.leases.on_announcement(node, incarnation, version, requested_at, now)
 
     def _slot_row_name(self, slot: int) -> str:
@@ -300,7 +304,7 @@
             self.leases.on_lost(slot)
         else:
             stored = None if isinstance(row, Absent) else _stored_from_row(row)
-            self.leases.on_row(slot, stored, self._loop.time())
+            self.leases.on_row(slot, stored, monotonic())
 
     async def _write_slot(self, action: WriteSlot) -> None:
         row = action.row
@@ -312,7 +316,7 @@
         }
         name = self._slot_row_name(action.slot)
         result = await self._table.write(name, value, action.expected_version, row.attempt)
-        now = self._loop.time()
+        now = monotonic()
         if isinstance(result, Written):
             self.leases.on_written(action.slot, result.version, now)
         elif isinstance(result, VersionConflict):
@@ -324,22 +328,22 @@
     async def release(self, timeout_s: float) -> None:
         """Stop granting and release all slots, as far as the platform answers in time."""
         self.leases.release_all()
-        deadline = self._loop.time() + timeout_s
-        while not self.leases.is_released() and self._loop.time() < deadline:
-            actions = self.leases.advance([], self._loop.time())
+        deadline = monotonic() + timeout_s
+        while not self.leases.is_released() and monotonic() < deadline:
+            actions = self.leases.advance([], monotonic())
             if actions:
                 await asyncio.gather(*(self._carry_out(action) for action in actions))
             else:
                 await asyncio.sleep(0.02)
 
-    def _spawn(self, coroutine: object) -> None:
-        task = self._loop.create_task(coroutine)  # type: ignore[arg-type]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def close(self) -> None:
         """Stop the timers."""
-        for timer in self._timers:
+        for timer in self._timer_by_name.values():
             timer.cancel()
         for task in list(self._tasks):
             task.cancel()
--- a/packages/pollenglade-node/src/pollenglade_node/serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving.py
@@ -4,6 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+from time import monotonic
+from typing import Any
+
+import structlog
 
 from pollenglade_core.admission import Action
 from pollenglade_core.admission import Admit
@@ -14,6 +19,7 @@
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
 from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.randomness import jittered
 from pollenglade_net.attempt import AttemptSink
@@ -33,7 +39,14 @@
 
 CRASH_PROBE_TIMEOUT_S = 0.25
 
+log = structlog.get_logger()
+
 LimitFactory = Callable[[int], ConcurrencyLimit]
+Notify = Callable[[str, list[CrashNotice]], Coroutine[Any, Any, None]]
+
+
+async def _notify_nobody(service: str, notices: list[CrashNotice]) -> None:
+    return None
 
 
 class Serving:
@@ -41,12 +54,14 @@
 
     def __init__(
         self,
+        name: str,
         handles: CallHandles,
         pool: ConnectionPool,
         limit_of: LimitFactory,
         source: RandomSource,
         ledger: CrashLedger,
     ) -> None:
+        self._name = name
         self.handles = handles
         self.pool = pool
         self.ledger = ledger
@@ -61,18 +76,17 @@
         self.calls_by_handle: dict[str, ServingCall] = {}
         self.draining = False
         self.on_targets_changed: Callable[[], None] = lambda: None
-        self.on_crash: Callable[[str, tuple[str, ...]], asyncio.Future[None] | None] = (
-            lambda service, fingerprints: None
-        )
+        self._crashes = 0
+        self.notify: Notify = _notify_nobody
 
     def announce(self, service: str, address: Address, slots: int, state: TargetState) -> None:
         """Take the announcement of a target."""
-        now = self._loop.time()
+        now = monotonic()
         target = self.targets_by_address.get(address)
         if target is None or target.service != service:
             target = Target(service, address, slots, self._limit_of(slots), self._source)
             self.targets_by_address[address] = target
-        changed = target.state is not state or now - target.announced_at > 1e6
+        changed = target.state is not state or not target.is_ready(now)
         target.slots = slots
         target.state = state
         target.announced_at = now
@@ -83,7 +97,7 @@
 
     def expire_targets(self) -> None:
         """Forget targets that have stopped to announce themselves."""
-        now = self._loop.time()
+        now = monotonic()
         for target in list(self.targets_by_address.values()):
             silent = target.state is TargetState.READY and not target.is_ready(now)
             if silent:
@@ -97,7 +111,7 @@
 
     def ready_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that take new calls."""
-        now = self._loop.time()
+        now = monotonic()
         targets = self.targets_by_address.values()
         return [item for item in targets if item.service == service and item.is_ready(now)]
 
@@ -111,7 +125,7 @@
             call.refuse(refusal or self._refusal(Reason.NO_TARGET))
             return call
         self.calls_by_id[context.call_id] = call
-        self.apply(target, target.admission.offer(context, self._loop.time()))
+        self.apply(target, target.admission.offer(context, monotonic()))
         return call
 
     def _refusal_before_admission(
@@ -123,7 +137,7 @@
             return self._refusal(Reason.NO_TARGET)
         if context.call_id in self.calls_by_id:
             return self._refusal(Reason.BAD_REQUEST, "the call id is in use")
-        return self.ledger.check(context.fingerprint, self._loop.time())
+        return self.ledger.check(context, monotonic(), self._source)
 
     def _refusal(self, reason: Reason, detail: str = "") -> Refusal:
         return Refusal(reason, Outcome.NOT_RUN, jittered(RETRY_AFTER_S, self._source), detail)
@@ -141,19 +155,16 @@
         self._schedule_expiry(target)
 
     def _schedule_expiry(self, target: Target) -> None:
+        if target in self._timer_by_target:
+            return
         expiry = target.admission.next_expiry()
-        timer = self._timer_by_target.get(target)
-        if timer is not None:
-            if expiry is not None and timer.when() <= expiry:
-                return
-            timer.cancel()
-            del self._timer_by_target[target]
         if expiry is not None:
-            self._timer_by_target[target] = self._loop.call_at(expiry, self._expire, target)
+            delay_s = max(0.0, expiry - monotonic())
+            self._timer_by_target[target] = self._loop.call_later(delay_s, self._expire, target)
 
     def _expire(self, target: Target) -> None:
         self._timer_by_target.pop(target, None)
-        self.apply(target, target.admission.expire(self._loop.time()))
+        self.apply(target, target.admission.expire(monotonic()))
 
     def feedback(self, target: Target | None, context: CallContext) -> Feedback:
         """Return what the entry node is told with the final message of a call."""
@@ -167,9 +178,9 @@
         """Remove a call that has ended."""
         self.calls_by_id.pop(call.context.call_id, None)
 
-    def spawn(self, coroutine: object) -> None:
-        """Run a coroutine in a task that the node waits for on close."""
-        task = self._loop.create_task(coroutine)  # type: ignore[arg-type]
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in a task that `close` cancels."""
+        task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -181,27 +192,35 @@
         """
         probe = self._crash_probes_by_target.get(target)
         if probe is None:
-            fingerprints = tuple(
-                call.context.fingerprint
-                for call in self.calls_by_id.values()
-                if call.target is target and call.is_started
-            )
-            probe = self._loop.create_task(self._probe_crash(target, fingerprints))
+            probe = self._loop.create_task(self._probe_crash(target))
             self._crash_probes_by_target[target] = probe
             probe.add_done_callback(lambda _: self._crash_probes_by_target.pop(target, None))
         await asyncio.shield(probe)
 
-    async def _probe_crash(self, target: Target, fingerprints: tuple[str, ...]) -> None:
+    async def _probe_crash(self, target: Target) -> None:
         connection = await self.pool.connect(target.address, CRASH_PROBE_TIMEOUT_S)
         if not isinstance(connection, HttpFailure):
             connection.abort()
             return
-        target.state = TargetState.GONE
-        self._remove(target)
-        self.on_targets_changed()
-        acknowledged = self.on_crash(target.service, fingerprints)
-        if acknowledged is not None:
-            await asyncio.wait([acknowledged], timeout=CRASH_NOTICE_TIMEOUT_S)
+        if target.state is not TargetState.GONE:
+            target.state = TargetState.GONE
+            self._remove(target)
+            self.on_targets_changed()
+        self._crashes += 1
+        crash_id = f"{self._name}/{self._crashes}"
+        notices = self.ledger.crash(str(target.address), crash_id, monotonic())
+        log.warning("target_crashed", service=target.service, calls_in_flight=len(notices))
+        await self.share(target.service, notices)
+
+    async def share(self, service: str, notices: list[CrashNotice]) -> None:
+        """Send crash notices to the other nodes of a service and wait for them for a short time."""
+        if not notices:
+            return
+        try:
+            async with asyncio.timeout(CRASH_NOTICE_TIMEOUT_S):
+                await self.notify(service, notices)
+        except TimeoutError:
+            return
 
     async def close(self) -> None:
         """Cancel what is left."""
--- a/packages/pollenglade-node/src/pollenglade_node/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving_call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -20,6 +20,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.link import WINDOW_BYTES
+from pollenglade_net.link_message import Feedback
 
 if TYPE_CHECKING:
     from .serving import Serving
@@ -50,7 +51,6 @@
         sink: AttemptSink,
     ) -> None:
         self._serving = serving
-        self._loop = asyncio.get_running_loop()
         self.target = target
         self.context = context
         self._request = request
@@ -73,10 +73,10 @@
     def start(self) -> None:
         """Send the call to the target."""
         assert self.target is not None
-        self._started_at = self._loop.time()
+        self._started_at = monotonic()
         self._handle = self._serving.handles.issue(self.context)
         self._serving.calls_by_handle[self._handle] = self
-        self._serving.ledger.on_start(self.context.fingerprint, self._started_at)
+        self._serving.ledger.start(self.context, str(self.target.address))
         # A connection that was idle for long may be dead without notice.
         max_idle_s = MAX_IDLE_S if self.context.idempotent else FRESH_IDLE_S
         connection = self._serving.pool.take(self.target.address, max_idle_s)
@@ -100,7 +100,7 @@
     def _send(self, connection: ClientConnection) -> None:
         assert self.target is not None
         self._connection = connection
-        remaining_s = max(0.001, self.context.remaining_s(self._loop.time()))
+        remaining_s = max(0.001, self.context.remaining_s(monotonic()))
         request = self._request
         headers = [
             (b"host", str(self.target.address).encode()),
@@ -149,9 +149,8 @@
         sink, self._sink = self._sink, None
         if sink is None:
             return
-        self._serving.ledger.on_complete(self.context.fingerprint, self._loop.time())
         shed = self._is_shed()
-        feedback = self._end(ok=not shed)
+        feedback = self._end(ok=not shed, completed=not shed)
         if shed:
             refusal = Refusal(Reason.TARGET_SHED, Outcome.NOT_RUN, 0.5)
             sink.on_refusal(refusal, feedback)
@@ -210,17 +209,19 @@
             self._end(ok=True, cancelled=True)
             return
         self._serving.forget(self)
-        self._serving.apply(target, target.admission.cancel(self.context.call_id, self._loop.time()))
+        self._serving.apply(target, target.admission.cancel(self.context.call_id, monotonic()))
 
-    def _end(self, ok: bool, cancelled: bool = False) -> object:
+    def _end(self, ok: bool, completed: bool = False, cancelled: bool = False) -> Feedback:
         """Release what the call holds and return the feedback for the entry node."""
         assert self.target is not None and self._handle is not None
-        now = self._loop.time()
+        now = monotonic()
         feedback = self._serving.feedback(self.target, self.context)
         self._serving.handles.revoke(self._handle)
         self._serving.calls_by_handle.pop(self._handle, None)
         self._handle = None
-        self._serving.ledger.on_finish(self.context.fingerprint, now)
+        notices = self._serving.ledger.finish(self.context.call_id, now, completed)
+        if notices:
+            self._serving.spawn(self._serving.share(self.context.service, notices))
         for child in list(self.children):
             child.cancel()
         self._serving.forget(self)
