Serve waiting organisations by weight from the start

With weights 1 and 2, both backlogged from the start, the lighter organisation got 5 calls per weight more than the other: the credit of the fair queue was 8 calls for each organisation whatever its weight. It is now 8 calls per weight, so organisations that become active together start level.

--- a/packages/pollenglade-core/src/pollenglade_core/fair_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/fair_queue.py
@@ -19,7 +19,7 @@
 
 
 CREDIT_CALLS = 8.0
-"""Calls that an organisation may catch up on after it used less than its share.
+"""Calls per weight that an organisation may catch up on after it used less than its share.
 
 Without it a burst shares the target equally with a surge, and a part of the burst exceeds the queue
 delay although its organisation stays within its share.
@@ -121,8 +121,7 @@
         finish_tag = self._finish_tag_by_organisation.get(call.organisation, -inf)
         backlog = _Backlog(call.organisation, float(max(1, call.weight)), now)
         self._by_organisation[call.organisation] = backlog
-        credit = CREDIT_CALLS / backlog.weight
-        self._take_turn(backlog, max(self._virtual_time - credit, finish_tag))
+        self._take_turn(backlog, max(self._virtual_time - CREDIT_CALLS, finish_tag))
         return backlog
 
     def _take_turn(self, backlog: _Backlog, start_tag: float) -> None:
--- a/packages/pollenglade-core/tests/test_core/test_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_admission.py
@@ -34,6 +34,7 @@
     importance: Importance = Importance.NORMAL,
     deadline_s: float = 2.0,
     depth: int = 1,
+    weight: int = 1,
 ) -> CallContext:
     return CallContext(
         call_id=f"{organisation}-{number}",
@@ -44,6 +45,7 @@
         deadline=now + deadline_s,
         allowance=RetryAllowance(0),
         depth=depth,
+        weight=weight,
     )
 
 
@@ -173,6 +175,22 @@
         driver.offer(make_call(4, 0.0, "b", Importance.CRITICAL))
         self.assertEqual({"a-1", "a-2", "b-4"}, set(driver.waiting))
 
+    @given(st.integers(1, 5), st.integers(1, 5))
+    def test_slots_and_losses_follow_the_weight(self, weight: int, other: int) -> None:
+        """An organisation that pays for a larger share must get it where capacity is short."""
+        driver = Driver(slots=1, capacity=60)
+        driver.offer(make_call(0, 0.0, "first"))
+        for number in range(100):
+            driver.offer(make_call(number, 0.0, "a", weight=weight))
+            driver.offer(make_call(number, 0.0, "b", weight=other))
+        kept = Counter(call.organisation for call in driver.waiting.values())
+        self.assertLessEqual(abs(kept["a"] / weight - kept["b"] / other), 1.0)
+        served: Counter[str] = Counter()
+        while min((kept - served).values(), default=0) and len(kept - served) == 2:
+            driver.finish(0, 0.0, ok=True)
+            served[driver.running[0].split("-")[0]] += 1
+        self.assertLessEqual(abs(served["a"] / weight - served["b"] / other), 1.0)
+
     def test_expected_time_does_not_lock_out_calls(self) -> None:
         """A high estimate refuses every call; without new samples it has to fade."""
         driver = Driver(slots=1, capacity=3)
--- a/packages/pollenglade-core/tests/test_core/test_limit.py
+++ b/packages/pollenglade-core/tests/test_core/test_limit.py
@@ -75,6 +75,14 @@
         self.assertLessEqual(target.peak, 4 * capacity)
         self.assertGreaterEqual(target.peak, capacity)
 
+    @settings(max_examples=5)
+    @given(st.floats(0.02, 0.05), st.integers(0, 99))
+    def test_low_hint_does_not_hold_back(self, base_s: float, seed: int) -> None:
+        """A target that announces too few slots would leave most of its capacity unused."""
+        target = SaturatedTarget(GradientLimit(10), 60, base_s, seed)
+        target.run(10.0)
+        self.assertGreaterEqual(target.peak, 60)
+
     @settings(max_examples=50)
     @given(
         st.integers(-5, 2_000),
--- a/packages/pollenglade-core/tests/test_core/test_quarantine.py
+++ b/packages/pollenglade-core/tests/test_core/test_quarantine.py
@@ -108,9 +108,25 @@
         """Message delays make ages late; two nodes must not keep a record alive between them."""
         ledgers = [CrashLedger(), CrashLedger()]
         ledgers[0].merge([CrashNotice("c1", "f", 0.0)], 0.0)
-        for step in range(1, 800):
-            ledgers[step % 2].merge(ledgers[1 - step % 2].notices(step - 0.5), float(step))
-        self.assertEqual([], [n for ledger in ledgers for n in ledger.notices(800.0)])
+        under_way: list[list[list[CrashNotice]]] = [[[], []], [[], []]]
+        for step in range(1_400):
+            now = step * 0.5
+            under_way.append([ledger.notices(now) for ledger in ledgers])
+            from_first, from_second = under_way.pop(0)
+            ledgers[0].merge(from_second, now)
+            ledgers[1].merge(from_first, now)
+        self.assertEqual([], [n for ledger in ledgers for n in ledger.notices(700.0)])
+
+    def test_one_completion_does_not_excuse_all_crashes(self) -> None:
+        """A call that worked once and crashes its target from then on has to be stopped."""
+        ledger, crashes = CrashLedger(), 0
+        ledger.start(make_call("first"), "t")
+        ledger.finish("first", 0.0, completed=True)
+        while ledger.check(make_call("again"), 1.0 + crashes, SOURCE) is None and crashes < 9:
+            ledger.start(make_call("again"), "t")
+            ledger.crash("t", f"c{crashes}", 1.0 + crashes)
+            crashes += 1
+        self.assertLessEqual(crashes, 3)
 
     def test_suspect_runs_alone(self) -> None:
         """Copies in flight at the same time would crash several targets at once."""
--- a/packages/pollenglade-core/tests/test_core/test_routing.py
+++ b/packages/pollenglade-core/tests/test_core/test_routing.py
@@ -61,51 +61,42 @@
 
 
 class RouterTest(unittest.TestCase):
-    @settings(max_examples=100)
+    @settings(max_examples=60)
     @given(
-        st.integers(1, 10),
-        st.lists(
-            st.tuples(
-                st.sampled_from(["fail", "fail", "fail", "slow", "ok", "refuse", "update"]),
-                st.integers(0, 9),
-                st.floats(0.0, 3.0),
-            ),
-            max_size=150,
-        ),
+        st.sets(st.integers(0, 9)),
+        st.booleans(),
+        st.lists(st.tuples(st.integers(1, 10), st.floats(0.0, 3.0)), max_size=30),
     )
     def test_ejection_and_choice_stay_in_bounds(
-        self, count: int, events: list[tuple[str, int, float]]
+        self, faulty: set[int], slow: bool, steps: list[tuple[int, float]]
     ) -> None:
         """A fault of the whole service must not eject it; a call never goes to a draining node."""
         router, random, now = Router("z1"), Random(0), 0.0
-        ready = [make_endpoint(f"n{number}") for number in range(count)]
-        router.update(ready, now)
-        for kind, index, step_s in events:
+        draining = Endpoint("n99", "fees", "z1", "a", 99, EndpointState.DRAINING)
+        for count, step_s in steps:
             now += step_s
-            if kind == "update":
-                ready = [make_endpoint(f"n{number}") for number in range(1 + index)]
-                draining = Endpoint("n99", "fees", "z1", "a", 99, EndpointState.DRAINING)
-                router.update([*ready, draining], now)
-            excluded = {"n0"} if len(ready) > 3 else set()
-            route = router.pick("fees", now, excluded, random)
-            assert isinstance(route, Route), route
-            self.assertIn(route.node, {endpoint.node for endpoint in ready} - excluded)
-            self.assertNotIn(route.node, router.ejected("fees", now))
-            router.on_start(route)
-            if kind == "refuse":
-                router.on_refusal(route, now, Reason.OVERLOADED)
-            else:
-                router.on_finish(route, now, 9.0 if kind == "slow" else 0.01, kind != "fail")
-            self.assertLessEqual(len(router.ejected("fees", now)), len(ready) // 3)
+            nodes = [f"n{number}" for number in range(count)]
+            router.update([*map(make_endpoint, nodes), draining], now)
+            excluded = {"n0"} if count > 3 else set()
+            for _ in range(10 * count):
+                now += 0.02
+                route = router.pick("fees", now, excluded, random)
+                assert isinstance(route, Route), route
+                self.assertIn(route.node, set(nodes) - excluded)
+                self.assertNotIn(route.node, router.ejected("fees", now))
+                router.on_start(route)
+                fault = int(route.node[1:]) in faulty
+                router.on_finish(route, now, 9.0 if fault and slow else 0.01, slow or not fault)
+                self.assertLessEqual(len(router.ejected("fees", now)), count // 3)
 
     @given(st.integers(0, 99), st.sampled_from([20, 1_000_000]))
     @settings(max_examples=5)
     def test_claimed_slots_do_not_draw_load(self, seed: int, claim: int) -> None:
         """A target that announces too many slots must not collect the calls of the others."""
         endpoints = [make_endpoint("n0", slots=claim), *map(make_endpoint, ["n1", "n2", "n3"])]
-        attempts = Traffic(endpoints, seed).run(10.0)
-        # With twice the slots counted, the fair part is 2 of 5.
-        self.assertLessEqual(attempts["n0"], 0.5 * attempts.total())
+        attempts = Traffic(endpoints, seed).run(5.0, rate_per_s=2_000.0)
+        # With twice the slots counted, the fair part is 0.4; winning each draw of two gives 0.5.
+        self.assertLessEqual(attempts["n0"], 0.45 * attempts.total())
 
     @given(st.integers(0, 99), st.sampled_from([0.1, 2.0]))
     @settings(max_examples=5)
