--- a/packages/pollenglade-core/tests/test_core/quota_fleet.py
+++ b/packages/pollenglade-core/tests/test_core/quota_fleet.py
@@ -40,6 +40,7 @@
         self.skew = fleet.random.randrange(0, 4096) / 64
         self.paused_until = 0.0
         self.isolated = False
+        self.without_platform = False
         self.leases = ZoneLeases(name, incarnation, fleet.slots)
         self.holder = QuotaHolder(self.leases)
         self.borrower = fleet.borrower_type(
@@ -147,7 +148,7 @@
         if a.isolated or (b is not None and b.isolated):
             return False
         if b is None:
-            return a.zone not in self.zones_without_platform
+            return not a.without_platform and a.zone not in self.zones_without_platform
         return a.zone == b.zone or not {a.zone, b.zone} & self.cut_zones
 
     def _arrives(self, a: Host, b: Host | None) -> bool:
