Let a second candidate take over from a holder without the platform

Cause: a holder that gossip shows as live but that cannot reach the platform stayed the only candidate for its slot, so after it stopped the slot had no holder for as long as the cut lasted. The directed outage test found this (no process granted 45 s after the outage).

Ruled out: letting any node claim (all members would poll all rows).

Change: the second choice of the rendezvous hash also polls the row and claims it where the first choice is the lapsed holder. Ranks are cached by the set of live members.

--- a/packages/pollenglade-core/src/pollenglade_core/lease.py
+++ b/packages/pollenglade-core/src/pollenglade_core/lease.py
@@ -36,6 +36,8 @@
         self._watches_by_node: dict[str, AnnouncementWatch] = {}
         self._refused: set[tuple[str, int]] = set()
         self._watch_at = 0.0
+        self._ranked_nodes: frozenset[str] = frozenset()
+        self._ranked_by_slot: dict[int, tuple[str | None, str | None]] = {}
 
     def hold(self, slot: int, now: float) -> SlotHold | None:
         """Return the hold on a slot; None while this node must not grant from it."""
@@ -57,12 +59,16 @@
                 actions.append(action)
         if not self._evidence.may_claim(now):
             return actions
-        candidates = {*live_nodes, self._node}
+        self._rank(frozenset({*live_nodes, self._node}))
         watched: set[str] = set()
         for slot, lease in self._leases_by_slot.items():
-            if lease.is_own or preferred_holder(slot, candidates) != self._node:
+            first, second = self._ranked_by_slot[slot]
+            if lease.is_own or self._node not in (first, second):
                 continue
-            action = lease.claim(generation, self._is_gone(lease, now), now)
+            # The second choice steps in for a first choice that holds the slot and has lost the
+            # platform, although gossip still shows it as live.
+            may_write = first == self._node or (lease.row and lease.row.holder) == first
+            action = lease.claim(generation, may_write, self._is_gone(lease, now), now)
             if action is not None:
                 actions.append(action)
             if lease.row is not None and lease.row.holder:
@@ -122,6 +128,16 @@
         if watch is not None:
             watch.on_read(version, incarnation, requested_at, now)
 
+    def _rank(self, nodes: frozenset[str]) -> None:
+        # Hashing all members for all slots costs milliseconds in a large zone.
+        if nodes == self._ranked_nodes:
+            return
+        self._ranked_nodes = nodes
+        for slot in self._leases_by_slot:
+            first = preferred_holder(slot, nodes)
+            second = preferred_holder(slot, nodes - {first})
+            self._ranked_by_slot[slot] = (first, second)
+
     def _is_gone(self, lease: SlotLease, now: float) -> bool:
         row = lease.row
         if row is None or not row.holder:
--- a/packages/pollenglade-core/src/pollenglade_core/slot_lease.py
+++ b/packages/pollenglade-core/src/pollenglade_core/slot_lease.py
@@ -80,17 +80,19 @@
         return self._write(self._node, self._known.row.epoch, generation)
 
     def claim(
-        self, generation: int, former_is_gone: bool, now: float
+        self, generation: int, may_write: bool, former_is_gone: bool, now: float
     ) -> ReadSlot | WriteSlot | None:
         """Return the request that brings a candidate closer to the lease.
 
-        `former_is_gone` says that the process named in the row can no longer grant.
+        `may_write` says that it is this node's turn, `former_is_gone` that the process named in the
+        row can no longer grant.
         """
         if self._awaits is not _Awaits.NOTHING or self.is_own or self._releasing:
             return None
         if self._known is not None:
             row = self._known.row
-            if former_is_gone or row.holder in ("", self._node):
+            is_free = former_is_gone or row.holder in ("", self._node)
+            if may_write and is_free:
                 return self._write(self._node, row.epoch + 1, generation)
             if now < self._poll_at:
                 return None
