--- a/packages/pollenglade-core/src/pollenglade_core/call_handles.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call_handles.py
@@ -129,7 +129,7 @@
         allowance=type(context.allowance)(lent),
         weight=context.weight,
         depth=context.depth + 1,
-        idempotent=rule.idempotent,
+        idempotent=rule.idempotent is True,
         fingerprint=fingerprint,
     )
     return NestedCall(child, lent)
