--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -4,8 +4,12 @@
 
 import typer
 
+from . import bench
+from . import caller
 from . import cutting_proxy
+from . import demo
 from . import target_standin
+from .link_comparison import link_comparison
 from .platform_command import platform
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -17,8 +21,12 @@
 
 
 app.command()(platform)
+app.command()(link_comparison)
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
+app.add_typer(caller.app)
+app.add_typer(demo.app)
+app.add_typer(bench.app)
 
 if __name__ == "__main__":
     app()
