--- /dev/null
+++ b/packages/pollenglade-cli/tests/test_cli/test_burn_command.py
@@ -0,0 +1,89 @@
+"""Guards against burn reports that hide missing data or leave out calls."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from xml.etree import ElementTree
+
+from typer.testing import CliRunner
+
+from pollenglade_cli.burn_command import app
+from pollenglade_cli.burn_sources import CountDocument
+from pollenglade_cli.burn_sources import Sources
+from pollenglade_cli.burn_sources import read_nodes
+from pollenglade_cli.exit_codes import ExitCode
+from pollenglade_core.call_counts import CallCounts
+from pollenglade_core.outcome import Outcome
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import async_handler
+
+
+def document(organisation: str = "alder", lost: int = 2) -> str:
+    """Return three batches of 40 calls with 10 bad ones each, without the lost one."""
+    counts = CallCounts("n1", 7)
+    for number in range(3):
+        for call in range(40):
+            counts.finished(organisation, "fees", "p", Outcome.RAN, good=call >= 10)
+        counts.cut(1_000.0 + number * 10)
+    batches = [batch for batch in counts.batches_since(0) if batch.sequence != lost]
+    return CountDocument(batches=batches).model_dump_json()
+
+
+class BurnCommandTest(unittest.TestCase):
+    def run_burn(self, content: str, *options: str) -> tuple[int, str]:
+        """Run the command on a file that is given twice."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "counts.json"
+            path.write_text(content)
+            result = CliRunner().invoke(app, ["burn", str(path), str(path), *options])
+        return result.exit_code, result.output
+
+    def test_json_counts_each_batch_once_and_names_gaps(self) -> None:
+        """A batch read twice, or a lost one that goes unseen, gives a wrong rate."""
+        code, output = self.run_burn(document(), "--output", "json")
+        data = json.loads(output)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual({(80, 20)}, {(item["calls"], item["bad"]) for item in data["burns"]})
+        self.assertEqual({"n1/7": [2]}, data["missing_batches"])
+        self.assertEqual(["page", "ticket"], [item["severity"] for item in data["alerts"]])
+
+    def test_unreadable_source_fails_the_command(self) -> None:
+        """A script that takes a partial report for a whole one would miss an alert."""
+        impossible = document().replace('"bad":10', '"bad":99')
+        for content in ("{", '{"calls": []}', impossible):
+            with self.subTest(content[:20]):
+                self.assertEqual(ExitCode.UNREADABLE, self.run_burn(content)[0])
+
+    def test_page_is_well_formed_and_self_contained(self) -> None:
+        """A name taken as markup would run in the operator's browser."""
+        code, output = self.run_burn(document("<script>"), "--output", "html")
+        page = output.removeprefix("<!DOCTYPE html>").replace('<meta charset="utf-8">', "")
+        root = ElementTree.fromstring(page)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual(4, len(root.findall(".//svg/rect")))
+        self.assertEqual([], root.findall(".//script"))
+        self.assertNotIn("http", output)
+
+
+class ReadNodesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nodes_answer_or_are_named(self) -> None:
+        """A node that does not answer must not look like a node without calls."""
+
+        async def answer(request: HttpRequest) -> HttpResponse:
+            self.assertEqual(b"/v1/counts", request.target)
+            return HttpResponse(200, [], document().encode())
+
+        server = HttpServer(async_handler(answer))
+        address = f"127.0.0.1:{await server.start('127.0.0.1', 0)}"
+        sources = Sources()
+        try:
+            await read_nodes([address, "127.0.0.1:1", "x"], sources, timeout_s=5.0)
+        finally:
+            await server.close()
+        self.assertEqual(2, len(sources.batches))
+        self.assertEqual({"127.0.0.1:1", "x"}, set(sources.problem_by_source))
