Keep the address of a restarted target and count crashes during a restart

Cause: a restarted target got a new address, unlike on a real host, and a poisoned call that reached a target during its start or after the last restart ended the run or was reported as an unexpected exit. Change: restarts keep the address, conduct and restarts exclude each other, and every exit by poison counts as a crash. Ruled out: ignoring exit code 70 everywhere, because without poison it is a fault.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/faults.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/faults.py
@@ -11,6 +11,7 @@
 
 from .fleet import Fleet
 from .fleet import Member
+from .processes import ProcessError
 from .scenario import SLOW_FACTOR
 from .scenario import Scenario
 from .scenario import Timing
@@ -22,6 +23,9 @@
 RESTART_S = 1.0
 """Time after which a crashed target starts again."""
 
+EXIT_S = 2.0
+"""Time for the exit of a crashed target to be seen."""
+
 POISON_PAUSE_S = 0.1
 POISON_TIMEOUT_S = 5.0
 
@@ -36,6 +40,7 @@
         self._service = slow_service(deployment)
         self._client = HttpClient()
         self._active = False
+        self._lock = asyncio.Lock()
         self.crashes = 0
         self.poison_calls = 0
         self.unexpected_exits: list[str] = []
@@ -56,12 +61,10 @@
         await self._client.close()
 
     async def _set(self, active: bool) -> None:
-        self._active = active
-        if self._scenario.slow:
-            conduct = {"latency_factor": SLOW_FACTOR if active else 1.0}
+        async with self._lock:
+            self._active = active
             for member in self._fleet.members_of(self._service):
-                if member.target.process.exit_code is None:
-                    await self._fleet.change_target(member.target, conduct)
+                await self._slow_down(member)
         if self._scenario.platform_down:
             body = orjson.dumps({"down": active})
             response = await self._client.request(
@@ -70,6 +73,17 @@
             if isinstance(response, HttpFailure) or response.status != 200:
                 raise RuntimeError(f"the platform stand-in did not accept the fault: {response}")
 
+    async def _slow_down(self, member: Member) -> None:
+        """Give a target the service time of the present phase, unless it has crashed."""
+        if not self._scenario.slow or member.place.service != self._service:
+            return
+        conduct = {"latency_factor": SLOW_FACTOR if self._active else 1.0}
+        try:
+            await self._fleet.change_target(member.target, conduct)
+        except RuntimeError:
+            # A crashed target gets its conduct when it starts again.
+            await asyncio.wait_for(member.target.process.wait(), EXIT_S)
+
     async def _send_poison(self, duration_s: float) -> None:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + duration_s
@@ -101,7 +115,19 @@
                 self.crashes += 1
             else:
                 self.unexpected_exits.append(f"{member.target.process.name} exited {code}")
-            target = await self._fleet.start_target(member.place, member.node)
-            self._fleet.members[index] = Member(member.place, member.node, target)
-            if self._active and self._scenario.slow and member.place.service == self._service:
-                await self._fleet.change_target(target, {"latency_factor": SLOW_FACTOR})
+            async with self._lock:
+                self._fleet.members[index] = await self._restarted(member)
+
+    async def _restarted(self, member: Member) -> Member:
+        fleet = self._fleet
+        target = await fleet.start_target(member.place, member.node, member.target.address)
+        restarted = Member(member.place, member.node, target)
+        try:
+            await fleet.processes.wait_target(target)
+        except ProcessError:
+            if target.process.exit_code != POISON_EXIT_CODE:
+                raise
+            # The next call of the loop ended it during its start; the next round counts that.
+            return restarted
+        await self._slow_down(restarted)
+        return restarted
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
@@ -86,14 +86,16 @@
         if isinstance(response, HttpFailure) or response.status != 200:
             raise RuntimeError(f"{target.process.name} did not accept {conduct}: {response}")
 
-    async def start_target(self, place: Place, node: NodeProcess) -> TargetProcess:
+    async def start_target(
+        self, place: Place, node: NodeProcess, address: Address | None = None
+    ) -> TargetProcess:
         """Start the target of a host; each start writes a run log of its own."""
         self._started += 1
         options = ["--workload", place.deployment, "--slots", str(place.slots)]
         options += ["--seed", str(place.index)]
         options += ["--log-file", str(self.log_folder / f"{place.name}-{self._started}.log")]
         name = f"target-{place.name}"
-        return await self.processes.start_target(name, place.service, node, options)
+        return await self.processes.start_target(name, place.service, node, options, address)
 
     def executions(self) -> list[Execution]:
         """Return the run logs of all targets, including those that crashed."""
@@ -118,7 +120,8 @@
             node = await processes.start_node(
                 f"node-{place.name}", place.zone, fleet.platform, settings=node_settings
             )
-            return Member(place, node, await fleet.start_target(place, node))
+            target = await fleet.start_target(place, node)
+            return Member(place, node, await processes.wait_target(target))
 
     found = [place for deployment in deployments for place in places(deployment)]
     fleet.members += await asyncio.gather(*(start(place) for place in found))
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -76,7 +76,8 @@
     async def wait(self) -> int:
         """Wait for the end and return the exit code."""
         code = await self._process.wait()
-        await self._reader
+        # A caller that gives up must not end the reader of the output.
+        await asyncio.shield(self._reader)
         return code
 
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
@@ -213,16 +214,23 @@
         service: str,
         node: NodeProcess | None = None,
         options: Sequence[str] = (),
+        address: Address | None = None,
     ) -> TargetProcess:
-        """Start a target stand-in and wait until it is ready."""
-        address = self.free_address()
+        """Start a target stand-in; `address` is that of its former process at a restart.
+
+        It is ready once `GET /health` answers 200.
+        """
+        address = address or self.free_address()
         command = ["-m", "pollenglade_emulator", "target", "--service", service]
         command += ["--listen", str(address), *options]
         if node is not None:
             command += ["--node", str(node.caller), "--control", str(node.control)]
-        process = await self.start(name, command)
-        await self.wait_ready(process, address, "/health")
-        return TargetProcess(process, service, address)
+        return TargetProcess(await self.start(name, command), service, address)
+
+    async def wait_target(self, target: TargetProcess) -> TargetProcess:
+        """Wait until a target is ready."""
+        await self.wait_ready(target.process, target.address, "/health")
+        return target
 
     async def wait_ready(
         self,
