Let node and command share one list of variables

Cause: both programs read variables with the prefix POLLENGLADE_, and each reported those of the other as unknown, so that they could not run in one environment. A node also accepted zone names with dots, which no profile can name; such a node had no share of any rate.

Ruled out: a prefix for each program (the platform URL and the zone are settings of both), and ignoring unknown variables (a misspelt one would then go unseen).

Change: pollenglade_core.variables lists the settings of both programs and finds unknown names. Zone names have the pattern of the profile file.

--- a/packages/pollenglade-cli/src/pollenglade_cli/settings.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/settings.py
@@ -18,9 +18,11 @@
 
 from pollenglade_core.finding import Finding
 from pollenglade_core.finding import Findings
+from pollenglade_core.profile import NAME_PATTERN
+from pollenglade_core.variables import PREFIX
+from pollenglade_core.variables import unknown_variables
 from pollenglade_net.http_client import Address
 
-PREFIX = "POLLENGLADE_"
 SCHEME = "http://"
 
 # Values stay text until all settings are checked together, so that every finding is reported.
@@ -56,7 +58,7 @@
     model_config = SettingsConfigDict(env_prefix=PREFIX, extra="forbid")
 
     platform_url: str
-    zone: str = Field(default="", pattern=r"^[a-z0-9.-]{0,63}$")
+    zone: str = Field(default="", pattern=rf"^$|{NAME_PATTERN}")
     output: Literal["table", "json"] = "table"
     timeout: float = Field(default=2.0, ge=0.05, le=60.0)
     wait: float = Field(default=10.0, ge=0.0, le=600.0)
@@ -79,7 +81,7 @@
 def read_settings(flags: Mapping[str, str | None]) -> Settings | Findings:
     """Return the settings, or every finding about flags and variables."""
     given = {name: value for name, value in flags.items() if value is not None}
-    findings = _unknown_variables()
+    findings = unknown_variables(os.environ)
     try:
         settings = Settings(**given)  # type: ignore[arg-type]
     except ValidationError as error:
@@ -88,16 +90,6 @@
     return Findings(tuple(findings)) if findings else settings
 
 
-def _unknown_variables() -> list[Finding]:
-    known = {PREFIX + name.upper() for name in Settings.model_fields}
-    names = sorted(name for name in os.environ if name.upper().startswith(PREFIX))
-    return [
-        Finding(name, "is not a known setting; unset it or correct its name")
-        for name in names
-        if name.upper() not in known
-    ]
-
-
 def _finding(detail: Any, given: Mapping[str, str]) -> Finding:
     name = str(detail["loc"][0])
     flag, variable = "--" + name.replace("_", "-"), PREFIX + name.upper()
--- a/packages/pollenglade-core/src/pollenglade_core/profile.py
+++ b/packages/pollenglade-core/src/pollenglade_core/profile.py
@@ -11,6 +11,9 @@
 from .importance import Importance
 
 DEFAULT_DEADLINE_MS = 2_000
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+"""Names of profiles, services, organisations and zones."""
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
 
--- a/packages/pollenglade-core/src/pollenglade_core/profile_file.py
+++ b/packages/pollenglade-core/src/pollenglade_core/profile_file.py
@@ -39,6 +39,7 @@
 from .finding import Findings
 from .importance import Importance
 from .profile import DEFAULT_DEADLINE_MS
+from .profile import NAME_PATTERN
 from .profile import OrganisationContract
 from .profile import Profile
 from .profile import RequestRule
@@ -52,7 +53,7 @@
 MAX_EXTRA_ATTEMPTS = 10
 MAX_RATE_PER_S = 1_000_000
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 Positive = Annotated[int, Field(ge=1, le=MAX_RATE_PER_S)]
 Method = Annotated[str, Field(pattern=r"^(\*|[A-Z]{1,16})$")]
 PathPattern = Annotated[str, Field(pattern=r"^[*/]", max_length=512)]
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/variables.py
@@ -0,0 +1,43 @@
+"""Environment variables of all programs of the product.
+
+The node and the command can run in one environment, so each must know the variables of the other
+to tell them from misspelt ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .finding import Finding
+
+PREFIX = "POLLENGLADE_"
+
+NODE_SETTINGS = frozenset(
+    {
+        "node",
+        "zone",
+        "region",
+        "caller_address",
+        "link_address",
+        "control_address",
+        "platform_url",
+        "concurrency_limit",
+        "drain_limit_s",
+        "log_level",
+    }
+)
+COMMAND_SETTINGS = frozenset({"platform_url", "zone", "output", "timeout", "wait", "who"})
+
+_KNOWN = frozenset(PREFIX + name.upper() for name in NODE_SETTINGS | COMMAND_SETTINGS)
+
+
+def unknown_variables(names: Iterable[str]) -> list[Finding]:
+    """Return a finding for each variable that has the prefix and is a setting of no program.
+
+    Names are compared without regard to case, as settings are read.
+    """
+    return [
+        Finding(name, "is no setting of pollenglade; correct its name or unset it")
+        for name in sorted(names)
+        if name.upper().startswith(PREFIX) and name.upper() not in _KNOWN
+    ]
--- a/packages/pollenglade-node/src/pollenglade_node/control.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control.py
@@ -12,6 +12,7 @@
 from pydantic import Field
 from pydantic import ValidationError
 
+from pollenglade_core.profile import NAME_PATTERN
 from pollenglade_net.http_client import Address
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
@@ -28,7 +29,7 @@
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
-    service: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+    service: Annotated[str, Field(pattern=NAME_PATTERN)]
     address: str
     slots: Annotated[int, Field(ge=1, le=100_000)]
     state: TargetState
--- a/packages/pollenglade-node/src/pollenglade_node/settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/settings.py
@@ -15,10 +15,13 @@
 
 from pollenglade_core.finding import Finding
 from pollenglade_core.finding import Findings
+from pollenglade_core.profile import NAME_PATTERN
+from pollenglade_core.variables import PREFIX
+from pollenglade_core.variables import unknown_variables
 from pollenglade_net.http_client import Address
 
-PREFIX = "POLLENGLADE_"
-NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+NODE_NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+"""Names of hosts and regions; they may be domain names."""
 
 
 def _checked_address(text: str) -> str:
@@ -33,7 +36,8 @@
     return text.rstrip("/")
 
 
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+NodeName = Annotated[str, Field(pattern=NODE_NAME_PATTERN)]
+ZoneName = Annotated[str, Field(pattern=NAME_PATTERN)]
 AddressText = Annotated[str, AfterValidator(_checked_address)]
 UrlText = Annotated[str, AfterValidator(_checked_url)]
 
@@ -43,9 +47,9 @@
 
     model_config = SettingsConfigDict(env_prefix=PREFIX, extra="forbid", frozen=True)
 
-    node: Name = Field(description="Name of the node, unique in the fleet.")
-    zone: Name = Field(description="Availability zone of the host.")
-    region: Name = Field(default="default", description="Region of the availability zone.")
+    node: NodeName = Field(description="Name of the node, unique in the fleet.")
+    zone: ZoneName = Field(description="Availability zone of the host, as profiles name it.")
+    region: NodeName = Field(default="default", description="Region of the availability zone.")
     caller_address: AddressText = Field(description="host:port for callers and nested calls.")
     link_address: AddressText = Field(description="host:port for links from other nodes.")
     control_address: AddressText = Field(
@@ -68,7 +72,7 @@
 ) -> NodeSettings | Findings:
     """Return the settings, or all findings with key, value seen and what to do."""
     given = {key: value for key, value in flags.items() if value is not None}
-    findings = _unknown_variables(environment)
+    findings = unknown_variables(environment)
     try:
         settings = NodeSettings(**given)
     except ValidationError as error:
@@ -77,15 +81,6 @@
     return Findings(tuple(findings)) if findings else settings
 
 
-def _unknown_variables(environment: Mapping[str, str]) -> list[Finding]:
-    known = {PREFIX + name.upper() for name in NodeSettings.model_fields}
-    return [
-        Finding(name, "is no setting of this program; see --help for the names, or remove it")
-        for name in sorted(environment)
-        if name.startswith(PREFIX) and name not in known
-    ]
-
-
 def _finding(error: Mapping[str, Any], environment: Mapping[str, str]) -> Finding:
     key = ".".join(str(part) for part in error["loc"])
     variable = PREFIX + key.upper()
