Export metrics without a collector and call counts in batches

Cause: the node had no metrics, and its counts since the start did not show a monitor which calls it had missed.

Change: metrics.py has OpenTelemetry observable instruments that read the counters in place; GET /metrics collects them through an in-memory reader and prints the Prometheus text format. Further readers can be attached. CallCounter holds one tally per kind of call, so a call pays for additions only. CountBatches cuts a numbered batch every 10 s and serves it by GET /v1/counts?since=. Requests refused before their organisation is known are in the batches under "(unknown)". POLLENGLADE_LOG_TOTALS_S logs totals; they are also logged at a stop, since nobody can read the last batch then.

The time at the target travels as a further element of the link's feedback, which older nodes ignore and newer ones may miss; without it an entry node could not tell the added latency from the latency of the target.

Ruled out: OpenTelemetry's own histogram (recording costs a call more than a list addition), and the default limit of 2,000 series (it would merge calls).

--- a/packages/pollenglade-core/src/pollenglade_core/admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission.py
@@ -74,6 +74,11 @@
         """What callers should not send at the moment."""
         return self._levels.level
 
+    @property
+    def limit(self) -> int:
+        """Calls that may run at the target at once."""
+        return self._limit.limit
+
     @property
     def in_flight(self) -> int:
         """Calls that run at the target."""
--- a/packages/pollenglade-core/src/pollenglade_core/call_counts.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call_counts.py
@@ -56,9 +56,15 @@
         self, organisation: str, service: str, profile: str, outcome: Outcome, *, good: bool
     ) -> None:
         """Count a call that has its final answer."""
+        self.add(organisation, service, profile, outcome, 1, int(not good))
+
+    def add(
+        self, organisation: str, service: str, profile: str, outcome: Outcome, calls: int, bad: int
+    ) -> None:
+        """Count several calls of one kind; `bad` of them missed the objective."""
         key = (organisation, service, profile, outcome)
-        calls, bad = self._calls.get(key, (0, 0))
-        self._calls[key] = (calls + 1, bad + (not good))
+        held_calls, held_bad = self._calls.get(key, (0, 0))
+        self._calls[key] = (held_calls + calls, held_bad + bad)
 
     def cut(self, ended_at: float) -> CountBatch:
         """Close the current batch; an empty one shows that the node is alive and had no calls."""
--- a/packages/pollenglade-core/src/pollenglade_core/variables.py
+++ b/packages/pollenglade-core/src/pollenglade_core/variables.py
@@ -23,6 +23,7 @@
         "platform_url",
         "concurrency_limit",
         "drain_limit_s",
+        "log_totals_s",
         "log_level",
     }
 )
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -86,11 +86,13 @@
 
     `unspent` is the part of the lent retry allowance that was not used. Calls below the importance
     `level` are refused at present, and the fraction `level_fraction` of those at the level.
+    `target_s` is the time at the target in seconds; it is sent with responses only.
     """
 
     unspent: int = 0
     level: int = 0
     level_fraction: float = 0.0
+    target_s: float = 0.0
 
 
 def _fields(message: Sequence[Any], count: int, *types: type) -> list[Any]:
@@ -215,6 +217,7 @@
             feedback.unspent,
             feedback.level,
             feedback.level_fraction,
+            feedback.target_s,
         ]
     )
 
@@ -222,7 +225,16 @@
 def pack_body(stream: int, data: bytes, end: bool, feedback: Feedback) -> bytes:
     """Encode a further part of the body."""
     return pack(
-        [Kind.BODY, stream, data, end, feedback.unspent, feedback.level, feedback.level_fraction]
+        [
+            Kind.BODY,
+            stream,
+            data,
+            end,
+            feedback.unspent,
+            feedback.level,
+            feedback.level_fraction,
+            feedback.target_s,
+        ]
     )
 
 
@@ -263,10 +275,11 @@
 
 def unpack_feedback(message: Sequence[object], position: int) -> Feedback:
     """Decode the feedback that starts at a position; missing elements get their defaults."""
-    values = message[position : position + 3]
+    values = message[position : position + 4]
     if len(values) < 3:
         return Feedback()
-    unspent, level, fraction = values
+    unspent, level, *numbers = values
     if not isinstance(unspent, int) or not isinstance(level, int):
         raise LinkError("feedback is not a number")
-    return Feedback(unspent, level, float(fraction) if isinstance(fraction, int | float) else 0.0)
+    fractions = [float(item) if isinstance(item, int | float) else 0.0 for item in numbers]
+    return Feedback(unspent, level, *fractions)
--- a/packages/pollenglade-node/src/pollenglade_node/call_counter.py
+++ b/packages/pollenglade-node/src/pollenglade_node/call_counter.py
@@ -1,64 +1,124 @@
-"""Counts of calls by organisation, service, profile and outcome."""
+"""Counts of calls by organisation, service, profile, outcome and reason."""
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass
+from dataclasses import field
+from time import monotonic
+from typing import NamedTuple
 
 from pollenglade_core.call import CallContext
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 
+LATENCY_BOUNDS_S = (
+    0.0001,
+    0.0002,
+    0.00043,
+    0.0007,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+)
+"""Upper bounds of the buckets in seconds; 0.43 ms at p99 is the goal for calls without a claim."""
 
-@dataclass(frozen=True, slots=True)
-class CountKey:
+CALLER_REASONS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.KEY_MISSING,
+        Reason.KEY_UNKNOWN,
+        Reason.KEY_WITHDRAWN,
+        Reason.KEY_EXPOSED,
+        Reason.HANDLE_UNKNOWN,
+        Reason.SERVICE_UNKNOWN,
+        Reason.NO_CONTRACT,
+        Reason.OVER_RATE,
+        Reason.TOO_DEEP,
+        Reason.IDEMPOTENCY_KEY_MISSING,
+        Reason.IDEMPOTENCY_KEY_REUSED,
+        Reason.IN_PROGRESS,
+    }
+)
+"""Refusals that the request itself causes; they do not count against the objective."""
+
+
+class CallKey(NamedTuple):
     """What calls are counted by; `reason` is empty for calls with a response."""
 
     organisation: str
     service: str
     profile: str
-    outcome: str
+    outcome: Outcome
     reason: str
 
 
+@dataclass(slots=True)
+class Tally:
+    """Calls of one kind since the start; `bad` of them missed the objective."""
+
+    calls: int = 0
+    bad: int = 0
+    seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Counts by bucket since the start; the last bucket has no upper bound."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BOUNDS_S) + 1))
+    seconds: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one value."""
+        self.counts[bisect_left(LATENCY_BOUNDS_S, seconds)] += 1
+        self.seconds += seconds
+
+
 class CallCounter:
-    """Counts in place; readers take a copy, so that the calls pay for one addition only."""
+    """Adds in place; readers look at the tallies, so that a call pays for the additions only."""
 
     def __init__(self) -> None:
-        self.calls: Counter[CountKey] = Counter()
-        self.seconds: Counter[CountKey] = Counter()
-        self.refused_by_reason: Counter[str] = Counter()
+        self.tally_by_key: dict[CallKey, Tally] = {}
+        self.refused_by_reason: Counter[Reason] = Counter()
+        self.added_latency = Histogram()
+        self.added_latency_with_claim = Histogram()
 
-    def finished(
-        self, context: CallContext, outcome: Outcome, reason: Reason | None, elapsed_s: float
+    def ran(self, context: CallContext, status: int, elapsed_s: float, target_s: float) -> None:
+        """Count a call with a whole response.
+
+        `elapsed_s` is the time since the call arrived, `target_s` the part of it at targets.
+        """
+        key = CallKey(context.organisation, context.service, context.profile, Outcome.RAN, "")
+        late = context.remaining_s(monotonic()) < 0.0
+        self._add(key, elapsed_s, bad=late or status >= 500)
+        histogram = self.added_latency if context.idempotent else self.added_latency_with_claim
+        histogram.add(max(0.0, elapsed_s - target_s))
+
+    def failed(
+        self, context: CallContext, outcome: Outcome, reason: Reason, elapsed_s: float
     ) -> None:
-        """Count a call that ended; `elapsed_s` is the time since it arrived."""
-        key = CountKey(
-            context.organisation,
-            context.service,
-            context.profile,
-            outcome.value,
-            reason.value if reason is not None else "",
-        )
-        self.calls[key] += 1
-        self.seconds[key] += elapsed_s  # type: ignore[assignment]
+        """Count a call without a whole response."""
+        key = CallKey(context.organisation, context.service, context.profile, outcome, reason.value)
+        self._add(key, elapsed_s, bad=reason not in CALLER_REASONS)
+
+    def _add(self, key: CallKey, elapsed_s: float, bad: bool) -> None:
+        tally = self.tally_by_key.get(key)
+        if tally is None:
+            tally = self.tally_by_key[key] = Tally()
+        tally.calls += 1
+        tally.bad += bad
+        tally.seconds += elapsed_s
 
     def refused(self, reason: Reason) -> None:
         """Count a request that was refused before its organisation and profile were known."""
-        self.refused_by_reason[reason.value] += 1
-
-    def to_wire(self) -> dict[str, object]:
-        """Return all counts since the start of the node as a JSON document."""
-        rows = [
-            {
-                "organisation": key.organisation,
-                "service": key.service,
-                "profile": key.profile,
-                "outcome": key.outcome,
-                "reason": key.reason,
-                "calls": count,
-                "seconds": round(self.seconds[key], 6),
-            }
-            for key, count in sorted(self.calls.items(), key=lambda item: repr(item[0]))
-        ]
-        return {"calls": rows, "unattributed": dict(self.refused_by_reason)}
+        self.refused_by_reason[reason] += 1
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -74,6 +74,8 @@
         self._attempt: Attempt | None = None
         self._route: Route | None = None
         self._attempt_started_at = 0.0
+        self._target_s = 0.0
+        self._status = 0
         self._lent = 0
         self._reroutes = 0
         self._excluded: set[str] = set()
@@ -133,6 +135,7 @@
         self._route = None
         self._attempt = None
         self.context.allowance.give_back(feedback.unspent, self._lent)
+        self._target_s += feedback.target_s
         level = AdmissionLevel(
             Importance(min(max(feedback.level, 0), max(Importance))), feedback.level_fraction
         )
@@ -153,6 +156,7 @@
         if self.on_result is not None:
             self._collected = _Collected(status, headers)
             return
+        self._status = status
         self._exchange.on_drained = self._on_drained
         self._exchange.start(status, [*headers, OUTCOME_RAN])
 
@@ -182,7 +186,7 @@
         if collected is not None:
             self.finish(collected.status, collected.headers, b"".join(collected.parts))
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(self._status)
         self._close(self.context.allowance.remaining)
         self._exchange.end()
 
@@ -265,7 +269,7 @@
             callback, self.on_result = self.on_result, None
             callback(status, headers, body, None)
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(status)
         self._close(self.context.allowance.remaining)
         self._exchange.respond(status, [*headers, OUTCOME_RAN], body)
 
@@ -301,9 +305,13 @@
         self._count(Outcome.UNKNOWN, Reason.CANCELLED)
         self._close(None)
 
-    def _count(self, outcome: Outcome, reason: Reason | None) -> None:
+    def _count_ran(self, status: int) -> None:
         elapsed_s = monotonic() - self.started_at
-        self._entry.counter.finished(self.context, outcome, reason, elapsed_s)
+        self._entry.counter.ran(self.context, status, elapsed_s, self._target_s)
+
+    def _count(self, outcome: Outcome, reason: Reason) -> None:
+        elapsed_s = monotonic() - self.started_at
+        self._entry.counter.failed(self.context, outcome, reason, elapsed_s)
 
     def _close(self, unspent: int | None) -> None:
         self.is_open = False
--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -218,6 +218,11 @@
         for link in [*self._link_by_node.values(), *self._accepted]:
             link.send_drain()
 
+    @property
+    def open_links(self) -> int:
+        """Links that are open, in both directions."""
+        return len(self._link_by_node) + len(self._accepted)
+
     @property
     def is_busy(self) -> bool:
         """Whether calls are open on any link."""
--- a/packages/pollenglade-node/src/pollenglade_node/main.py
+++ b/packages/pollenglade-node/src/pollenglade_node/main.py
@@ -38,6 +38,7 @@
     platform_url: Annotated[str | None, typer.Option(help=_help("platform_url"))] = None,
     concurrency_limit: Annotated[str | None, typer.Option(help=_help("concurrency_limit"))] = None,
     drain_limit_s: Annotated[float | None, typer.Option(help=_help("drain_limit_s"))] = None,
+    log_totals_s: Annotated[float | None, typer.Option(help=_help("log_totals_s"))] = None,
     log_level: Annotated[str | None, typer.Option(help=_help("log_level"))] = None,
 ) -> None:
     """Run the overload control daemon of one target host until SIGTERM or SIGINT.
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/metrics_text.py
@@ -0,0 +1,55 @@
+"""Collected metrics in the Prometheus text format, version 0.0.4."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from opentelemetry.sdk.metrics.export import Metric
+from opentelemetry.sdk.metrics.export import MetricsData
+from opentelemetry.sdk.metrics.export import NumberDataPoint
+from opentelemetry.sdk.metrics.export import Sum
+
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+HISTOGRAM_SUFFIXES = ("_bucket", "_sum", "_count")
+
+_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
+def render(data: MetricsData | None) -> str:
+    """Return one line for each series, with help and type before the first of a family."""
+    lines: list[str] = []
+    described: set[str] = set()
+    for metric in _metrics(data):
+        name, family, kind = _names(metric)
+        if family not in described:
+            described.add(family)
+            lines += [f"# HELP {family} {metric.description}", f"# TYPE {family} {kind}"]
+        for point in metric.data.data_points:
+            if isinstance(point, NumberDataPoint):
+                lines.append(f"{name}{_labels(point.attributes or {})} {point.value}")
+    return "\n".join([*lines, ""])
+
+
+def _metrics(data: MetricsData | None) -> Iterator[Metric]:
+    for resource in data.resource_metrics if data is not None else ():
+        for scope in resource.scope_metrics:
+            yield from scope.metrics
+
+
+def _names(metric: Metric) -> tuple[str, str, str]:
+    """Return the names of the series and of its family, and the type of the family."""
+    name = metric.name.replace(".", "_")
+    if not isinstance(metric.data, Sum):
+        return name, name, "gauge"
+    for suffix in HISTOGRAM_SUFFIXES:
+        if name.endswith(suffix):
+            return name, name.removesuffix(suffix), "histogram"
+    return f"{name}_total", f"{name}_total", "counter"
+
+
+def _labels(attributes: Mapping[str, object]) -> str:
+    if not attributes:
+        return ""
+    items = (f'{key}="{str(value).translate(_ESCAPES)}"' for key, value in attributes.items())
+    return "{" + ",".join(items) + "}"
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -39,12 +39,15 @@
 from .configuration_sync import ConfigurationSync
 from .control import ControlApi
 from .control import add_target_route
+from .count_batches import CountBatches
 from .crash_notices import CRASH_TOPIC
 from .crash_notices import CrashNotices
 from .entry import Entry
 from .fleet import Fleet
 from .links import Links
 from .links import PeerAddress
+from .metrics import Metrics
+from .metrics import Parts
 from .quota_service import ASK_TOPIC
 from .quota_service import SETTLE_TOPIC
 from .quota_service import QuotaService
@@ -117,6 +120,7 @@
         )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
+        self.batches = CountBatches(settings.node, incarnation, self.counter, settings.log_totals_s)
         self.entry = Entry(
             settings.node,
             incarnation,
@@ -129,11 +133,23 @@
             self.counter,
             fast,
         )
+        self.metrics = Metrics(settings.node, settings.zone, self._parts())
         self._caller_server = HttpServer(self.entry.handle)
         self._control = ControlApi()
         self._control_server = HttpServer(async_handler(self._control.handle))
         self._connect_parts()
 
+    def _parts(self) -> Parts:
+        return Parts(
+            self.counter,
+            self.serving,
+            self.quota,
+            self.links,
+            self.configuration,
+            self.fleet,
+            lambda: len(self.entry.open_calls),
+        )
+
     def _limit_of(self, slots: int) -> ConcurrencyLimit:
         if self._settings.concurrency_limit == "none":
             return NoLimit()
@@ -156,7 +172,8 @@
         add_target_route(self._control, self.serving)
         self._control.add("GET", "/v1/configuration", self.configuration.serve)
         self._control.add("GET", "/v1/status", self._status)
-        self._control.add("GET", "/v1/counts", self._counts)
+        self._control.add("GET", "/v1/counts", self.batches.serve)
+        self._control.add("GET", "/metrics", self.metrics.serve)
         self._control.add("GET", "/health", self._health)
         self._control.add("GET", "/ready", self._ready)
 
@@ -223,6 +240,7 @@
         await self.configuration.start()
         await self.fleet.start()
         await self.quota.start()
+        self.batches.start()
         self._expire_targets()
         log.info("node_started", incarnation=self.incarnation)
 
@@ -255,6 +273,8 @@
         """Close all ports and connections."""
         if self._expiry is not None:
             self._expiry.cancel()
+        self.batches.close()
+        self.metrics.close()
         await self.quota.close()
         await self.claims.close()
         await self.fleet.close()
@@ -298,10 +318,6 @@
         }
         return json_response(200, document)
 
-    async def _counts(self, request: HttpRequest) -> HttpResponse:
-        document = {"node": self._settings.node, "incarnation": self.incarnation}
-        return json_response(200, document | self.counter.to_wire())
-
     async def _health(self, request: HttpRequest) -> HttpResponse:
         return json_response(200, {"status": "ok"})
 
--- a/packages/pollenglade-node/src/pollenglade_node/serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving.py
@@ -166,13 +166,15 @@
         self._timer_by_target.pop(target, None)
         self.apply(target, target.admission.expire(monotonic()))
 
-    def feedback(self, target: Target | None, context: CallContext) -> Feedback:
+    def feedback(
+        self, target: Target | None, context: CallContext, target_s: float = 0.0
+    ) -> Feedback:
         """Return what the entry node is told with the final message of a call."""
         unspent = context.allowance.remaining
         if target is None:
             return Feedback(unspent)
         level = target.admission.level
-        return Feedback(unspent, int(level.importance), level.fraction)
+        return Feedback(unspent, int(level.importance), level.fraction, target_s)
 
     def forget(self, call: ServingCall) -> None:
         """Remove a call that has ended."""
--- a/packages/pollenglade-node/src/pollenglade_node/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving_call.py
@@ -215,7 +215,8 @@
         """Release what the call holds and return the feedback for the entry node."""
         assert self.target is not None and self._handle is not None
         now = monotonic()
-        feedback = self._serving.feedback(self.target, self.context)
+        target_s = now - self._started_at
+        feedback = self._serving.feedback(self.target, self.context, target_s)
         self._serving.handles.revoke(self._handle)
         self._serving.calls_by_handle.pop(self._handle, None)
         self._handle = None
@@ -229,6 +230,6 @@
         if cancelled:
             actions = admission.cancel(self.context.call_id, now)
         else:
-            actions = admission.finish(self.context.call_id, now, now - self._started_at, ok)
+            actions = admission.finish(self.context.call_id, now, target_s, ok)
         self._serving.apply(self.target, actions)
         return feedback
--- a/packages/pollenglade-node/src/pollenglade_node/settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/settings.py
@@ -62,6 +62,12 @@
     drain_limit_s: float = Field(
         default=30.0, ge=0.0, le=600.0, description="Longest wait for running calls at a stop, s."
     )
+    log_totals_s: float = Field(
+        default=0.0,
+        ge=0.0,
+        le=86_400.0,
+        description="Interval of log lines with totals, s; 0 for none.",
+    )
     log_level: Annotated[str, Field(pattern=r"^(debug|info|warning|error)$")] = Field(
         default="info", description="Lowest level that is logged."
     )
