--- a/packages/pollenglade-cli/src/pollenglade_cli/confirmation.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/confirmation.py
@@ -49,6 +49,8 @@
 
 
 def _problem(answer: NodeAnswer) -> str:
+    if answer.status is None and answer.node.is_stale:
+        return f"{answer.problem}, announced {answer.node.age_s:.0f} s ago"
     if answer.status is None:
         return answer.problem
     return f"has version {answer.status.configuration_version} in force"
--- a/packages/pollenglade-cli/src/pollenglade_cli/main.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/main.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from . import burn_command
 from . import key_commands
 from . import monitor_commands
 from . import profile_commands
@@ -18,6 +19,7 @@
 app.add_typer(profile_commands.app, name="profile")
 app.add_typer(key_commands.app, name="key")
 app.add_typer(monitor_commands.app, name="monitor")
+app.add_typer(burn_command.app, name="report")
 app.command()(status)
 
 
--- a/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
@@ -41,7 +41,9 @@
 ) -> None:
     """List nodes that differ from the published configuration or do not answer.
 
-    Nodes may take up to --wait seconds to follow a change that has just been accepted.
+    Nodes may take up to --wait seconds to follow a change that has just been accepted. Nodes that
+    have not renewed their announcement for 60 s count as ended: they are not asked, but named. A
+    zone of a profile without any announced node is a finding.
     """
     flags = {
         "platform_url": platform_url,
@@ -57,9 +59,10 @@
     published = await session.load()
     if isinstance(published, Report):
         return published
-    nodes = await announced_nodes(session)
-    if isinstance(nodes, Unavailable):
-        return unavailable(nodes)
+    known = await announced_nodes(session)
+    if isinstance(known, Unavailable):
+        return unavailable(known)
+    nodes = [node for node in known if not node.is_stale]
     version, digest = published.version, published.digest()
     answers = await ask_until(
         session,
@@ -75,22 +78,26 @@
         answers = await ask_until(
             session, nodes, lambda s: s.configuration_digest == newer.digest()
         )
-    return _report(published, nodes, answers)
+    return _report(published, known, answers)
 
 
 def _report(
-    published: Configuration, nodes: list[AnnouncedNode], answers: list[NodeAnswer]
+    published: Configuration, known: list[AnnouncedNode], answers: list[NodeAnswer]
 ) -> Report:
+    nodes = [node for node in known if not node.is_stale]
+    ended = sorted(f"{node.zone}/{node.name}" for node in known if node.is_stale)
     findings = [
         {"node": a.node.name, "zone": a.node.zone, "state": state, "problem": problem}
         for a in answers
         for state, problem in [_judge(published, a)]
         if problem
     ]
+    findings += _absent_zones(published, nodes)
     data = {
         "version": published.version,
         "digest": published.digest(),
         "nodes": len(nodes),
+        "ended": ended,
         "findings": findings,
     }
     if not nodes:
@@ -98,6 +105,8 @@
         text = f"version {published.version} is published, but no node is announced"
         return Report({**data, "note": text}, text, ExitCode.NODES_DIFFER)
     head = f"version {published.version} is published; {len(nodes)} nodes are announced"
+    if ended:
+        head += f" (without renewal for 60 s: {', '.join(ended)})"
     if not findings:
         return Report(data, f"{head}; all have it in force")
     rows = [list(finding.values()) for finding in findings]
@@ -105,6 +114,19 @@
     return Report(data, text, ExitCode.NODES_DIFFER)
 
 
+def _absent_zones(published: Configuration, nodes: list[AnnouncedNode]) -> list[dict[str, str]]:
+    """Return a finding for each zone of a profile without a node.
+
+    A zone that is cut off from the platform would otherwise pass once its announcements are old.
+    """
+    expected = {zone for p in published.profiles_by_name.values() for zone in p.zones}
+    problem = "a profile names this zone, but no node of it is announced"
+    return [
+        {"node": "", "zone": zone, "state": "absent", "problem": problem}
+        for zone in sorted(expected - {node.zone for node in nodes})
+    ]
+
+
 def _judge(published: Configuration, answer: NodeAnswer) -> tuple[str, str]:
     """Return the state and the problem of a node; no problem where it agrees."""
     if answer.status is None:
--- a/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from pydantic import BaseModel
+from pydantic import Field
 from pydantic import ValidationError
 
 from pollenglade_net.http_client import Address
@@ -20,6 +22,21 @@
 NODE_PREFIX = "nodes/"
 MAX_CONCURRENT_REQUESTS = 64
 POLL_INTERVAL_S = 0.25
+STALE_AFTER_S = 60.0
+"""Age of an announcement in seconds from which its node counts as ended; nodes renew every 10 s."""
+
+
+class TargetStatus(BaseModel):
+    """A target as its node reports it."""
+
+    service: str
+    address: str
+    state: str
+    slots: int
+    in_flight: int
+    waiting: int
+    level: str
+    level_fraction: float
 
 
 class NodeStatus(BaseModel):
@@ -29,21 +46,35 @@
     zone: str
     configuration_version: int
     configuration_digest: str
+    draining: bool = False
+    open_calls: int = 0
+    slots_held: list[int] = Field(default_factory=list)
+    targets: list[TargetStatus] = Field(default_factory=list)
 
 
 class _Announcement(BaseModel):
     control_address: str
     leaving: bool = False
+    announced_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class AnnouncedNode:
-    """A node row of the platform; `problem` says why the node cannot be asked."""
+    """A node row of the platform; `problem` says why the node cannot be asked.
+
+    `age_s` is the time since the announcement by the clocks of both hosts; 0 where it is not known.
+    """
 
     name: str
     zone: str
     address: Address | None
     problem: str = ""
+    age_s: float = 0.0
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the node has stopped to renew its announcement."""
+        return self.age_s > STALE_AFTER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,21 +87,33 @@
 
 
 async def announced_nodes(session: Session) -> list[AnnouncedNode] | Unavailable:
-    """Return the nodes whose rows are on the platform, without those that are leaving."""
+    """Return the nodes whose rows are on the platform, without those that are leaving.
+
+    Stale ones are included: a zone that is cut off from the platform cannot renew, and still runs.
+    """
     rows = await session.platform.read_prefix(NODE_PREFIX)
     if isinstance(rows, Unavailable):
         return rows
-    nodes = [_announced(row) for row in rows]
+    wall_s = time.time()
+    nodes = [_announced(row, wall_s) for row in rows if not _is_tombstone(row)]
     return [node for node in nodes if node is not None]
 
 
-def _announced(row: Row) -> AnnouncedNode | None:
+def _is_tombstone(row: Row) -> bool:
+    # The platform offers no delete; a node of the zone overwrites rows that are an hour old.
+    return isinstance(row.value, dict) and row.value.get("tombstone") is True
+
+
+def _announced(row: Row, wall_s: float) -> AnnouncedNode | None:
     zone, _, name = row.name.removeprefix(NODE_PREFIX).rpartition("/")
     try:
         announcement = _Announcement.model_validate(row.value)
         if announcement.leaving:
             return None
-        return AnnouncedNode(name, zone, Address.parse(announcement.control_address))
+        written_at = announcement.announced_at
+        age_s = 0.0 if written_at is None else max(0.0, wall_s - written_at)
+        address = Address.parse(announcement.control_address)
+        return AnnouncedNode(name, zone, address, age_s=age_s)
     except ValueError:
         problem = f"row {row.name} holds no valid control_address"
         return AnnouncedNode(name, zone, None, problem)
--- a/packages/pollenglade-cli/tests/test_cli/test_commands.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_commands.py
@@ -7,6 +7,7 @@
 import os
 import tempfile
 import threading
+import time
 import unittest
 from collections.abc import Coroutine
 from pathlib import Path
@@ -32,7 +33,7 @@
 PROFILE = """
 name = "residencies"
 services = ["{service}"]
-zones = {{east = 1}}
+zones = {{{zones}}}
 [organisations.acme]
 rate_per_s = {rate}
 burst = 20
@@ -51,15 +52,18 @@
         """Start the platform and return its address."""
         return str(await self.platform.start())
 
-    async def add_node(self, name: str, zone: str) -> None:
-        """Start a node and announce it."""
+    async def add_node(self, name: str, zone: str, age_s: float | None = None) -> None:
+        """Start a node and announce it, as of `age_s` seconds ago where given."""
 
         async def answer(request: HttpRequest) -> HttpResponse:
             return HttpResponse(200, [], json.dumps(self._status(name, zone)).encode())
 
         server = HttpServer(async_handler(answer))
         self._servers.append(server)
-        value = {"control_address": f"127.0.0.1:{await server.start('127.0.0.1', 0)}"}
+        value: dict[str, Any] = {
+            "control_address": f"127.0.0.1:{await server.start('127.0.0.1', 0)}",
+            "announced_at": None if age_s is None else time.time() - age_s,
+        }
         row = Row(f"nodes/{zone}/{name}", 1, value, "x")
         self.platform.rows_by_name[row.name] = row
 
@@ -111,9 +115,9 @@
         """Run a coroutine on the loop of the servers."""
         return asyncio.run_coroutine_threadsafe(work, self.loop).result(10)
 
-    def write(self, service: str = "fees", rate: int = 10) -> None:
+    def write(self, service: str = "fees", rate: int = 10, zones: str = "east = 1") -> None:
         """Write the profile file."""
-        self.file.write_text(PROFILE.format(service=service, rate=rate))
+        self.file.write_text(PROFILE.format(service=service, rate=rate, zones=zones))
 
     def run_json(self, *arguments: str, code: ExitCode = ExitCode.OK) -> Any:
         """Run a command, check its exit code and return what it printed."""
@@ -190,6 +194,26 @@
         self.assertEqual({"n1": "differs", "n2": "silent", "n3": "differs"}, states)
         self.assertEqual({"east": 3}, self.run_json("status")["nodes_by_zone"])
 
+    def test_former_nodes_are_named_and_a_zone_without_nodes_is_found(self) -> None:
+        """A zone that is cut off stops renewing; it must not pass, nor confirm a withdrawal."""
+        self.write(zones="east = 1, west = 1")
+        self.on_loop(self.fleet.add_node("n1", "east"))
+        self.on_loop(self.fleet.add_node("n2", "east", age_s=61.0))
+        self.on_loop(self.fleet.add_node("n3", "west", age_s=20.0))
+        tombstone = Row("nodes/east/n0", 9, {"tombstone": True}, "x")
+        self.fleet.platform.rows_by_name[tombstone.name] = tombstone
+        self.run_json("profile", "publish", str(self.file))
+        verified = self.run_json("monitor", "verify")
+        self.assertEqual((2, ["east/n2"]), (verified["nodes"], verified["ended"]))
+        self.on_loop(self.fleet.add_node("n3", "west", age_s=61.0))
+        self.fleet.overrides_by_node["n3"] = {"configuration_version": 0}
+        found = self.run_json("monitor", "verify", code=ExitCode.NODES_DIFFER)["findings"]
+        self.assertEqual([("west", "absent")], [(f["zone"], f["state"]) for f in found])
+        self.assertEqual({"east": 1}, self.run_json("status")["nodes_by_zone"])
+        key_id = self.run_json("key", "publish", "acme")["key_id"]
+        result = self.run_json("key", "withdraw", key_id, code=ExitCode.NOT_CONFIRMED)
+        self.assertEqual(["west"], result["unconfirmed_zones"])
+
     def test_outage_has_its_own_exit_code(self) -> None:
         """A script must tell an outage and an unknown result from a refusal."""
         self.fleet.platform.faults = Faults(down=True)
--- a/packages/pollenglade-node/src/pollenglade_node/announcement.py
+++ b/packages/pollenglade-node/src/pollenglade_node/announcement.py
@@ -11,6 +11,12 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+STALE_AFTER_S = 60.0
+"""Age in seconds from which a row that was not seen to change counts as that of a former node."""
+
+TOMBSTONE = {"tombstone": True}
+"""Value of the row of a node that ended long ago; the platform offers no delete."""
+
 
 @dataclass(frozen=True, slots=True)
 class AnnouncedTarget:
@@ -22,7 +28,7 @@
 
 
 class NodeAnnouncement(BaseModel):
-    """Value of the row `nodes/<zone>/<node>`."""
+    """Value of the row `nodes/<zone>/<node>`; `announced_at` is in seconds since the epoch."""
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -32,10 +38,15 @@
     region: str = "default"
     link_address: str
     control_address: str
+    announced_at: float | None = None
     renewal: Annotated[int, Field(ge=0)] = 0
     leaving: bool = False
     targets: tuple[AnnouncedTarget, ...] = ()
 
+    def is_stale(self, wall_s: float) -> bool:
+        """Return whether the row was written long ago by the clocks of both hosts."""
+        return self.announced_at is not None and wall_s - self.announced_at > STALE_AFTER_S
+
 
 _ADAPTER = TypeAdapter(NodeAnnouncement)
 
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -21,6 +22,7 @@
 from .announcement import NodeAnnouncement
 from .announcement import announcement_from_wire
 from .announcement import row_name
+from .announcement_sweep import AnnouncementSweep
 
 RENEWAL_INTERVAL_S = 10.0
 """Interval of announcements; 880 nodes make 88 writes per second."""
@@ -30,6 +32,12 @@
 DEAD_AFTER_S = 30.0
 """An announcement that has not changed for this time counts as that of a dead node."""
 
+MAX_POLL_GAP_S = 5.0
+"""A longer gap between two reads does not count as time without a change.
+
+After an outage of the platform every row is unchanged, although the nodes live.
+"""
+
 log = structlog.get_logger()
 
 
@@ -60,7 +68,10 @@
         self._row_version = 0
         self._renewal = 0
         self._wake = asyncio.Event()
-        self._seen_by_node: dict[str, tuple[int, float]] = {}
+        self._seen_by_row: dict[str, tuple[int, float]] = {}
+        self._sweep = AnnouncementSweep(node, zone, table)
+        self._read_at = 0.0
+        self._watched_s = 0.0
         self.leaving = False
         self.targets: tuple[AnnouncedTarget, ...] = ()
         self.by_node: dict[str, NodeAnnouncement] = {}
@@ -101,6 +112,7 @@
             region=self._region,
             link_address=self._link_address,
             control_address=self._control_address,
+            announced_at=time.time(),
             renewal=self._renewal,
             leaving=self.leaving,
             targets=self.targets,
@@ -138,26 +150,38 @@
         while True:
             rows = await self._table.read_prefix("nodes/")
             if not isinstance(rows, Unavailable):
-                self._take(rows)
+                await self._take_and_sweep(rows)
             await asyncio.sleep(POLL_INTERVAL_S * self._source.uniform(0.9, 1.1))
 
-    def _take(self, rows: Sequence[Row]) -> None:
-        now = monotonic()
-        by_node: dict[str, NodeAnnouncement] = {}
-        for row in rows:
-            announcement = announcement_from_wire(row.value)
-            if announcement is None:
-                continue
-            version, seen_at = self._seen_by_node.get(announcement.node, (-1, 0.0))
-            if row.version != version:
-                seen_at = now
-                self._seen_by_node[announcement.node] = (row.version, now)
-            if now - seen_at < DEAD_AFTER_S:
-                by_node[announcement.node] = announcement
+    async def _take_and_sweep(self, rows: Sequence[Row]) -> None:
+        self.take(rows, monotonic(), time.time())
+        if self._sweep.is_due(self.live_nodes(self._zone), monotonic()):
+            await self._sweep.sweep([row for row in rows if not self._is_live(row)])
+
+    def take(self, rows: Sequence[Row], now: float, wall_s: float) -> None:
+        """Take the rows as read at `now`, which is `wall_s` in seconds since the epoch."""
+        self._watched_s += min(now - self._read_at, MAX_POLL_GAP_S)
+        self._read_at = now
+        self._seen_by_row = {row.name: self._seen(row, wall_s) for row in rows}
+        announcements = [announcement_from_wire(row.value) for row in rows if self._is_live(row)]
+        by_node = {item.node: item for item in announcements if item is not None}
         if by_node != self.by_node:
             self.by_node = by_node
             self.on_change()
 
+    def _seen(self, row: Row, wall_s: float) -> tuple[int, float]:
+        """Return the version of a row and the time on the watch at which it was seen to be new."""
+        known = self._seen_by_row.get(row.name)
+        if known is not None:
+            return known if known[0] == row.version else (row.version, self._watched_s)
+        announcement = announcement_from_wire(row.value)
+        stale = announcement is None or announcement.is_stale(wall_s)
+        # The clock of a host can be wrong, so a row that looks stale counts again once it changes.
+        return row.version, self._watched_s - DEAD_AFTER_S if stale else self._watched_s
+
+    def _is_live(self, row: Row) -> bool:
+        return self._watched_s - self._seen_by_row[row.name][1] < DEAD_AFTER_S
+
     async def close(self) -> None:
         """Stop announcing and reading."""
         for task in self._tasks:
