Send header fields without validating them a second time

Cause: a profile of both nodes at saturation shows h11 as the largest cost; validation of fields that h11 had parsed before, and of the empty trailers of each EndOfMessage, took 38 us and 42 us of profiled time per message. Ruled out: writing heads without h11, because framing and keep-alive rules would stand twice. Change: fields that were parsed by h11 or are constants are wrapped as valid; one EndOfMessage is shared; contexts are copied by naming their fields.

--- a/packages/pollenglade-core/src/pollenglade_core/call.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call.py
@@ -31,6 +31,26 @@
     fingerprint: str = ""
     crash_count: int = 0
 
+    def with_allowance(self, allowance: RetryAllowance) -> CallContext:
+        """Return a copy with another retry allowance.
+
+        Naming the fields takes a third of the time of `dataclasses.replace`.
+        """
+        return CallContext(
+            self.call_id,
+            self.organisation,
+            self.profile,
+            self.service,
+            self.importance,
+            self.deadline,
+            allowance,
+            self.weight,
+            self.depth,
+            self.idempotent,
+            self.fingerprint,
+            self.crash_count,
+        )
+
     def remaining_s(self, now: float) -> float:
         """Seconds until the deadline; negative where it has passed."""
         return self.deadline - now
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
@@ -39,6 +39,7 @@
 PLANNED_RATE_PER_S = 125
 """Calls per second of one entry node at the planned size: 110,000 over 880 nodes."""
 
+IDLE_S = 10.0
 SATURATION_WORKERS = 32
 IDLE_CONNECTIONS = 800
 RATE_PER_S = 1_000_000
@@ -160,6 +161,15 @@
             },
         }
 
+    async def idle(self, seconds: float) -> dict[str, float]:
+        """Measure the processor time of control work alone, as a share of one core."""
+        before, started_at = self._usages(), perf_counter()
+        await asyncio.sleep(seconds)
+        elapsed_s, after = perf_counter() - started_at, self._usages()
+        return {
+            name: round((after[name].cpu_s - before[name].cpu_s) / elapsed_s, 4) for name in before
+        }
+
     async def memory(self) -> dict[str, Any]:
         """Measure resident memory before and with many open connections that were used once."""
         before = self._usages()
@@ -242,6 +252,7 @@
                 await cost.through_nodes()
                 await cost.direct()
             result = {
+                "idle_core_share": await cost.idle(IDLE_S),
                 "planned_rate": await cost.paired(pairs, PLANNED_RATE_PER_S),
                 "saturation": await cost.saturated(calls),
                 "memory": await cost.memory(),
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -10,11 +10,13 @@
 
 import h11
 
+from .http_message import END_OF_MESSAGE
 from .http_message import MAX_HEAD_BYTES
 from .http_message import FailureReason
 from .http_message import Headers
 from .http_message import HttpFailure
 from .http_message import HttpResponse
+from .http_message import valid_headers
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -108,18 +110,24 @@
         body: bytes,
         sink: ResponseSink,
         timeout_s: float,
+        validated: bool = False,
     ) -> None:
-        """Send a request; the sink gets the response or the failure."""
+        """Send a request; the sink gets the response or the failure.
+
+        `validated` says that h11 has parsed the fields before or that they are constants.
+        """
         assert self._transport is not None and self._sink is None
         self._sink = sink
         fields = headers
         if body or method in ("POST", "PUT", "PATCH"):
             fields = [*headers, (b"content-length", b"%d" % len(body))]
         try:
-            parts = [self._h11.send(h11.Request(method=method, target=target, headers=fields))]
+            checked = valid_headers(fields) if validated else fields
+            head = h11.Request(method=method, target=target, headers=checked)
+            parts = [self._h11.send(head)]
             if body:
                 parts.append(self._h11.send(h11.Data(data=body)))
-            parts.append(self._h11.send(h11.EndOfMessage()))
+            parts.append(self._h11.send(END_OF_MESSAGE))
         except h11.LocalProtocolError as error:
             self._sink = None
             self.abort()
--- a/packages/pollenglade-net/src/pollenglade_net/http_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_message.py
@@ -6,7 +6,9 @@
 from dataclasses import field
 from enum import StrEnum
 
+import h11
 import orjson
+from h11._headers import Headers as H11Headers
 
 Headers = list[tuple[bytes, bytes]]
 """Header fields in order; names are lower case."""
@@ -93,6 +95,19 @@
         return orjson.loads(self.body)
 
 
+END_OF_MESSAGE = h11.EndOfMessage()
+"""Shared by all messages; building one validates its empty list of trailers each time."""
+
+
+def valid_headers(headers: Headers) -> H11Headers:
+    """Wrap fields that h11 has parsed before or that this program wrote itself.
+
+    h11 validates a plain list field by field, which costs more than sending it. Fields that come
+    from elsewhere must be passed as a plain list.
+    """
+    return H11Headers([(name, name, value) for name, value in headers])
+
+
 def json_response(status: int, document: object, headers: Headers | None = None) -> HttpResponse:
     """Return a response with a JSON body."""
     fields = [(b"content-type", b"application/json"), *(headers or [])]
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -11,11 +11,13 @@
 import h11
 import orjson
 
+from .http_message import END_OF_MESSAGE
 from .http_message import MAX_BODY_BYTES
 from .http_message import MAX_HEAD_BYTES
 from .http_message import Headers
 from .http_message import HttpRequest
 from .http_message import HttpResponse
+from .http_message import valid_headers
 
 PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of pipelined requests that are buffered before reading pauses."""
@@ -61,7 +63,7 @@
         parts = [connection.head(status, fields)]
         if body and self._method != "HEAD" and status not in BODYLESS_STATUS:
             parts.append(connection.encode(h11.Data(data=body)))
-        parts.append(connection.encode(h11.EndOfMessage()))
+        parts.append(connection.encode(END_OF_MESSAGE))
         self._finish(connection, b"".join(parts))
 
     def start(self, status: int, headers: Headers) -> None:
@@ -83,7 +85,7 @@
         if connection is None:
             return
         try:
-            tail = connection.encode(h11.EndOfMessage())
+            tail = connection.encode(END_OF_MESSAGE)
         except h11.LocalProtocolError:
             self.abort()
             return
@@ -222,7 +224,7 @@
         """Encode the head of a response."""
         if self._server.draining:
             headers = [*headers, (b"connection", b"close")]
-        return self.encode(h11.Response(status_code=status, headers=headers))
+        return self.encode(h11.Response(status_code=status, headers=valid_headers(headers)))
 
     def encode(self, event: h11.Event) -> bytes:
         """Encode one event; raise h11.LocalProtocolError where it does not fit the framing."""
@@ -264,7 +266,7 @@
         try:
             head = self.encode(h11.Response(status_code=status, headers=headers))
             data = self.encode(h11.Data(data=body))
-            self.write(head + data + self.encode(h11.EndOfMessage()))
+            self.write(head + data + self.encode(END_OF_MESSAGE))
         except h11.LocalProtocolError:
             self.abort()
             return
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -116,7 +115,7 @@
         allowance = self.context.allowance
         self._lent = max(0, allowance.remaining - 1)
         allowance.remaining -= self._lent
-        attempt_context = replace(self.context, allowance=RetryAllowance(self._lent))
+        attempt_context = self.context.with_allowance(RetryAllowance(self._lent))
         sent = self._entry.dispatcher.send(node, attempt_context, self.request, self)
         if not self.is_open or self._route is not route:
             return
--- a/packages/pollenglade-node/src/pollenglade_node/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving_call.py
@@ -110,7 +110,9 @@
             (b"pollenglade-organisation", self.context.organisation.encode()),
             (b"pollenglade-deadline-ms", b"%d" % int(remaining_s * 1000)),
         ]
-        connection.send(request.method, request.target, headers, request.body, self, remaining_s)
+        connection.send(
+            request.method, request.target, headers, request.body, self, remaining_s, validated=True
+        )
 
     def on_head(self, status: int, headers: Headers) -> None:
         """Take the head of the response of the target."""
