Test the takeover rules and prefetch directly

Change: direct tests of these rules on SlotLease, AnnouncementWatch and QuotaHolder, and a test that steady traffic of 4 to 200 calls/s at one node waits for no round trip after its first second.

--- a/packages/pollenglade-core/tests/test_core/test_lease.py
+++ b/packages/pollenglade-core/tests/test_core/test_lease.py
@@ -3,15 +3,27 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import dataclass
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from pollenglade_core.lease_evidence import AnnouncementWatch
 from pollenglade_core.lease_rows import SLOT_COUNT
+from pollenglade_core.lease_rows import SlotRow
+from pollenglade_core.lease_rows import StoredSlotRow
+from pollenglade_core.lease_rows import WriteSlot
 from pollenglade_core.lease_rows import preferred_holder
 from pollenglade_core.lease_rows import slot_of
 from pollenglade_core.quota import Account
+from pollenglade_core.quota import Denied
+from pollenglade_core.quota import Granted
+from pollenglade_core.quota import QuotaAsk
+from pollenglade_core.quota import QuotaHolder
+from pollenglade_core.quota import SlotHold
+from pollenglade_core.slot_lease import SlotLease
 
 from .quota_fleet import TICK_S
 from .quota_fleet import Fleet
@@ -109,6 +121,55 @@
         self.assertEqual(1, len(failure.granting()))
 
 
+class RulesTest(unittest.TestCase):
+    @given(st.floats(0, 1e6), st.floats(0, 0.999))
+    def test_claim_grants_after_former_grants_have_expired(self, now: float, early: float) -> None:
+        """A takeover by a refused connection finds grants of the former holder in use."""
+        lease = SlotLease(3, "n", 1)
+        lease.claim(1, True, True, now)
+        former = SlotRow("other", 1, 4, "x")
+        lease.on_row(StoredSlotRow(9, former), now)
+        write = lease.claim(1, True, True, now)
+        assert isinstance(write, WriteSlot)
+        lease.on_written(10, now)
+        self.assertIsNone(lease.hold(1, now + early))
+        self.assertEqual(5, getattr(lease.hold(1, now + 1.001), "epoch", None))
+        self.assertIsNone(lease.hold(2, now + 1.001), "needs confirmation after a lapse")
+
+    @given(st.lists(st.floats(0.1, 9.0), max_size=60))
+    def test_takeover_needs_30_s_of_gapless_reads(self, gaps: list[float]) -> None:
+        """The first read after an outage must not let a candidate take over at once."""
+        watch, now, seen_for = AnnouncementWatch(), 100.0, 0.0
+        watch.on_read(1, 1, now, now)
+        for gap in gaps:
+            now += gap
+            seen_for = seen_for + gap if gap <= 5.0 else 0.0
+            watch.on_read(1, 1, now, now)
+            if watch.has_lapsed(now):
+                self.assertGreaterEqual(seen_for, 29.999)
+
+    def test_new_epoch_starts_empty(self) -> None:
+        """Tokens of a former epoch come on top of those that another holder granted since."""
+        authority = FixedHold(SlotHold(1, 0.0))
+        holder = QuotaHolder(authority)
+        holder.set_share(ACCOUNT, 1, 50, 0.0)
+        ask = QuotaAsk("b", "1", ACCOUNT, 1, 1)
+        self.assertIsInstance(holder.ask(ask, 60.0), Granted)
+        authority.current = SlotHold(2, 60.0)
+        self.assertIsInstance(holder.ask(replace(ask, request_id="2"), 60.5), Denied)
+        self.assertEqual(Granted("1", 1, 1), holder.ask(ask, 61.0), "a repeat gets no second grant")
+
+
+@dataclass
+class FixedHold:
+    """Authority with a given hold."""
+
+    current: SlotHold
+
+    def hold(self, slot: int, now: float) -> SlotHold | None:
+        return self.current
+
+
 class PreferenceTest(unittest.TestCase):
     @given(st.sets(st.text("abc123", min_size=1), min_size=2, max_size=20), st.data())
     def test_a_lost_node_moves_only_its_own_slots(
--- a/packages/pollenglade-core/tests/test_core/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
+from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -13,8 +15,10 @@
 
 from pollenglade_core.borrower_account import BorrowerAccount
 from pollenglade_core.quota import Account
+from pollenglade_core.quota import AskHolder
 from pollenglade_core.quota import QuotaBorrower
 from pollenglade_core.quota import Spent
+from pollenglade_core.quota import Waiting
 from pollenglade_core.quota_borrower import BorrowerAction
 
 from .quota_fleet import TICK_S
@@ -174,3 +178,24 @@
         print(f"refused {refused} of {offered} calls within the rate")
         self.assertGreater(offered, 8_000)
         self.assertLessEqual(refused, offered * 0.001)
+
+
+class PrefetchTest(unittest.TestCase):
+    @given(st.integers(4, 200), st.integers(0, 2**32))
+    @settings(max_examples=20)
+    def test_steady_traffic_waits_for_no_round_trip(self, per_s: int, seed: int) -> None:
+        """A call that waits for a holder adds a round trip to its latency."""
+        borrower = QuotaBorrower("n/1", "a", ("a", "b"), random.Random(seed))
+        waited: list[float] = []
+        answers: list[tuple[float, AskHolder]] = []
+        for index in range(per_s * 4):
+            now = 50.0 + index / per_s
+            while answers and answers[0][0] <= now:
+                at, action = answers.pop(0)
+                borrower.on_granted(action.ask.request_id, action.ask.wanted, at)
+            for act in borrower.spend(ACCOUNTS[0], str(index), now):
+                if isinstance(act, AskHolder):
+                    answers.append((now + 0.003, act))
+                elif isinstance(act, Waiting):
+                    waited.append(now)
+        self.assertEqual([], [at for at in waited if at > 51.0])
