Report a grant as spent as soon as it is used up

Ruled out: counting tokens for waiting calls as spent at the grant (they may be spent up to 1 s later, so the window bound would break).

Change: a grant that is used up on arrival is settled at once, at the cost of one more message.

--- a/packages/pollenglade-core/src/pollenglade_core/quota_borrower.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota_borrower.py
@@ -120,6 +120,11 @@
         expires_at = request.sent_at + GRANT_LIFETIME_S
         state.slices.append(Slice(request_id, request.zone, tokens, expires_at))
         actions: list[BorrowerAction] = [Spent(call_id) for call_id in state.serve(now)]
+        if state.slices[-1].left(now) == 0:
+            # Tokens of a small burst block accrual until they are reported as spent.
+            settlements = state.settlements(request.zone, now)
+            if settlements:
+                actions.append(SettleHolder(request.zone, request.account, settlements))
         if not state.waiting:
             state.asked_zones.clear()
         elif was_open:
