Learn members by gossip instead of reading all rows each second

Cause: every node read all announcements each second, which at 880 nodes is far above the platform's reads and the 7 KB/s of a node.

--- a/packages/pollenglade-core/src/pollenglade_core/gossip_wire.py
+++ b/packages/pollenglade-core/src/pollenglade_core/gossip_wire.py
@@ -8,6 +8,7 @@
 from .lease_rows import SLOT_COUNT
 from .member import Member
 from .member import MemberState
+from .member import ServiceOffer
 
 MAX_TEXT = 255
 MAX_ITEMS = 4_096
@@ -85,7 +86,7 @@
         "host": member.host,
         "link_address": member.link_address,
         "control_address": member.control_address,
-        "services": list(member.services),
+        "offers": [[offer.service, offer.slots] for offer in member.offers],
         "state": member.state.value,
         "sequence": member.sequence,
         "quota_slots": member.quota_slots,
@@ -104,8 +105,8 @@
         fields.text("link_address"),
         fields.text("control_address"),
         tuple(
-            _text(item, f"{place}.services[{index}]")
-            for index, item in enumerate(fields.items("services"))
+            _offer(item, f"{place}.offers[{index}]")
+            for index, item in enumerate(fields.items("offers"))
         ),
         fields.state("state"),
         fields.number("sequence"),
@@ -166,6 +167,15 @@
         }
 
 
+def _offer(value: object, place: str) -> ServiceOffer:
+    if not isinstance(value, list) or len(value) != 2:
+        raise WireError(place, "must be a pair of service and slots")
+    service, slots = value
+    if not isinstance(slots, int) or isinstance(slots, bool) or not 0 <= slots <= MAX_NUMBER:
+        raise WireError(f"{place}[1]", "must be a whole number that is not negative")
+    return ServiceOffer(_text(service, f"{place}[0]"), slots)
+
+
 def _text(value: object, place: str) -> str:
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT:
         raise WireError(place, f"expected a text of 1 to {MAX_TEXT} characters")
--- a/packages/pollenglade-core/src/pollenglade_core/member.py
+++ b/packages/pollenglade-core/src/pollenglade_core/member.py
@@ -19,6 +19,14 @@
 _PRECEDENCE = {state: index for index, state in enumerate(MemberState)}
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceOffer:
+    """A service that has a ready target at a node; `slots` is announced and only a hint."""
+
+    service: str
+    slots: int
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """What is known about a node.
@@ -34,7 +42,7 @@
     host: str
     link_address: str
     control_address: str
-    services: tuple[str, ...] = ()
+    offers: tuple[ServiceOffer, ...] = ()
     state: MemberState = MemberState.ALIVE
     sequence: int = 0
     quota_slots: int = 0
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -11,12 +11,13 @@
 
 from pollenglade_core.call_handles import CallHandles
 from pollenglade_core.configuration import Configuration
-from pollenglade_core.endpoint import Endpoint
-from pollenglade_core.endpoint import EndpointState
 from pollenglade_core.limit import ConcurrencyLimit
 from pollenglade_core.limit import FixedLimit
 from pollenglade_core.limit import GradientLimit
 from pollenglade_core.limit import NoLimit
+from pollenglade_core.member import Member
+from pollenglade_core.member import ServiceOffer
+from pollenglade_core.membership import GossipMessage
 from pollenglade_core.quarantine import CrashLedger
 from pollenglade_core.routing import Router
 from pollenglade_core.source_levels import SourceLevels
@@ -32,8 +33,6 @@
 from pollenglade_net.link_message import Hello
 from pollenglade_net.platform_client import PlatformClient
 
-from .announcement import AnnouncedTarget
-from .announcement import NodeAnnouncement
 from .call_counter import CallCounter
 from .claim_service import ClaimService
 from .configuration_sync import ConfigurationSync
@@ -43,8 +42,9 @@
 from .crash_notices import CrashNotices
 from .entry import Entry
 from .fleet import Fleet
+from .gossip import Gossip
 from .links import Links
-from .links import PeerAddress
+from .presence import Presence
 from .quota_service import ASK_TOPIC
 from .quota_service import SETTLE_TOPIC
 from .quota_service import QuotaService
@@ -58,6 +58,12 @@
 DRAIN_POLL_S = 0.05
 TARGET_EXPIRY_INTERVAL_S = 0.5
 
+RELAY_SILENCE_S = 3.0
+"""Age of the zone's latest platform contact from which other nodes poll in place of relays."""
+
+SUBSTITUTE_RELAYS = 2.0
+"""Nodes of a zone that poll in each interval, on average, where no relay is heard."""
+
 log = structlog.get_logger()
 
 
@@ -68,13 +74,13 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._expiry: asyncio.TimerHandle | None = None
-        self._draining_by_node: dict[str, int] = {}
         # The start time orders incarnations of one node; a clock step back of the host can
         # repeat one, which the fencing by epochs and row versions tolerates.
         incarnation = time.time_ns() // 1_000_000
         self.incarnation = incarnation
         secure = random.SystemRandom()
         fast = random.Random(secure.getrandbits(64))
+        self._random = fast
         self._pool = ConnectionPool(max_idle=512)
         self._http = HttpClient()
         platform = Address.parse(settings.platform_url.removeprefix("http://"))
@@ -90,16 +96,18 @@
         )
         hello = Hello(settings.node, incarnation, settings.zone)
         self.links = Links(hello, self.serving)
-        self.fleet = Fleet(
+        own = Member(
             settings.node,
             incarnation,
             settings.zone,
             settings.region,
+            Address.parse(settings.link_address).host,
             settings.link_address,
             settings.control_address,
-            self._platform,
-            fast,
         )
+        self.gossip = Gossip(own, self._http, fast)
+        self.fleet = Fleet(self.gossip)
+        self.presence = Presence(self._platform, lambda: self.fleet.own, fast)
         self.quota = QuotaService(
             settings.node,
             incarnation,
@@ -113,7 +121,7 @@
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
         self.claims = ClaimService(
-            f"{settings.node}/{incarnation:x}", self._platform, self._is_process_alive, fast
+            f"{settings.node}/{incarnation:x}", self._platform, self.fleet.is_process_alive, fast
         )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
@@ -147,12 +155,20 @@
         self.links.on_peer_drain = self._on_peer_drain
         self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
         self.serving.notify = self.crash_notices.notify
-        self.fleet.on_change = self._on_fleet
-        self.fleet.on_renewed = lambda requested_at, alone: self.quota.leases.on_renewed(
-            requested_at, alone, monotonic()
-        )
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
+        self.configuration.is_relay = self._polls_platform
+        self.configuration.on_platform_contact = self._on_platform_contact
+        self.presence.live_count = self.fleet.live_count
+        self.presence.is_relay = self.fleet.is_relay
+        self.presence.on_members = self.gossip.seed
+        self.presence.on_renewed = self._on_renewed
+        self.gossip.configuration_version = lambda: self.configuration.version
+        self.gossip.contact_age_s = lambda: self.quota.leases.zone_contact_age_s(monotonic())
+        self.gossip.on_change = self._on_fleet
+        self.gossip.on_message = self._on_gossip
+        self._control.add("POST", "/v1/gossip", self.gossip.serve_gossip)
+        self._control.add("POST", "/v1/probe", self.gossip.serve_probe)
         add_target_route(self._control, self.serving)
         self._control.add("GET", "/v1/configuration", self.configuration.serve)
         self._control.add("GET", "/v1/status", self._status)
@@ -160,57 +176,58 @@
         self._control.add("GET", "/health", self._health)
         self._control.add("GET", "/ready", self._ready)
 
-    def _is_process_alive(self, process: str) -> bool:
-        node, _, incarnation = process.rpartition("/")
-        known = self.fleet.by_node.get(node)
-        return known is not None and f"{known.incarnation:x}" == incarnation
-
     def _on_configuration(self, configuration: Configuration) -> None:
         self.entry.configuration = configuration
         self.quota.apply(configuration)
+        self.gossip.push()
 
     def _on_targets(self) -> None:
         now = monotonic()
-        self.fleet.targets = tuple(
-            AnnouncedTarget(target.service, target.slots, target.state.value)
-            for target in self.serving.targets_by_address.values()
-            if target.is_ready(now)
+        self.fleet.set_offers(
+            tuple(
+                ServiceOffer(target.service, target.slots)
+                for target in self.serving.targets_by_address.values()
+                if target.is_ready(now)
+            )
         )
-        self.fleet.announce_now()
-        self._update_endpoints()
+        self.presence.announce_now()
+        self._on_fleet()
 
     def _on_fleet(self) -> None:
-        self.links.peers_by_node = {
-            item.node: PeerAddress(Address.parse(item.link_address), item.incarnation)
-            for item in self.fleet.by_node.values()
-        }
-        self._update_endpoints()
+        self.links.peers_by_node = self.fleet.peer_addresses()
+        self.router.update(self.fleet.endpoints(), monotonic())
 
     def _on_peer_drain(self, node: str, incarnation: int) -> None:
-        self._draining_by_node[node] = incarnation
-        self._update_endpoints()
-
-    def _is_leaving(self, item: NodeAnnouncement) -> bool:
-        return item.leaving or self._draining_by_node.get(item.node) == item.incarnation
-
-    def _update_endpoints(self) -> None:
-        announcements = {**self.fleet.by_node, self._settings.node: self.fleet.announcement()}
-        self.router.update(
-            [
-                Endpoint(
-                    node=item.node,
-                    service=target.service,
-                    zone=item.zone,
-                    address=item.link_address,
-                    slots=target.slots,
-                    state=(
-                        EndpointState.DRAINING if self._is_leaving(item) else EndpointState.READY
-                    ),
-                )
-                for item in announcements.values()
-                for target in item.targets
-            ],
-            monotonic(),
+        self.fleet.on_peer_drain(node, incarnation)
+        self._on_fleet()
+
+    def _on_renewed(self, requested_at: float, alone: bool) -> None:
+        self.quota.leases.on_renewed(requested_at, alone, monotonic())
+
+    def _on_platform_contact(self, requested_at: float) -> None:
+        now = monotonic()
+        self.quota.leases.on_zone_contact(now - requested_at, now)
+
+    def _on_gossip(self, message: GossipMessage, sender: Member | None) -> None:
+        now = monotonic()
+        if message.zone == self._settings.zone:
+            self.quota.leases.on_peer_heard(now)
+            if message.contact_age_s is not None:
+                self.quota.leases.on_zone_contact(message.contact_age_s, now)
+        if sender is not None:
+            address = Address.parse(sender.control_address)
+            self.configuration.on_peer_version(message.configuration_version, address)
+
+    def _polls_platform(self) -> bool:
+        """Return whether to poll now: as a relay, or where the zone hears from no relay."""
+        if self.fleet.is_relay():
+            return True
+        age_s = self.quota.leases.zone_contact_age_s(monotonic())
+        if age_s is not None and age_s < RELAY_SILENCE_S:
+            return False
+        # All nodes together make a few reads per second, also in a long outage.
+        return self._random.random() < SUBSTITUTE_RELAYS / self.fleet.live_count(
+            self._settings.zone
         )
 
     async def start(self) -> None:
@@ -221,7 +238,8 @@
         await self.links.start(Address.parse(self._settings.link_address))
         await self._control_server.start(control.host, control.port)
         await self.configuration.start()
-        await self.fleet.start()
+        await self.gossip.start()
+        await self.presence.start()
         await self.quota.start()
         self._expire_targets()
         log.info("node_started", incarnation=self.incarnation)
@@ -235,11 +253,12 @@
         log.info("node_draining")
         started_at = monotonic()
         self.serving.draining = True
-        self.fleet.leaving = True
-        self.fleet.announce_now()
+        self.fleet.set_leaving()
+        self.presence.announce_now()
         self.links.send_drain()
         self._caller_server.drain()
-        self._update_endpoints()
+        self._on_fleet()
+        await self.gossip.tell_all(self._settings.zone)
         await self.quota.release(RELEASE_TIMEOUT_S)
         while not self._is_drained(monotonic() - started_at):
             await asyncio.sleep(DRAIN_POLL_S)
@@ -257,7 +276,8 @@
             self._expiry.cancel()
         await self.quota.close()
         await self.claims.close()
-        await self.fleet.close()
+        await self.presence.close()
+        await self.gossip.close()
         await self.configuration.close()
         await self._caller_server.close()
         await self.links.close()
@@ -291,7 +311,7 @@
             "draining": self.serving.draining,
             "configuration_version": current.version,
             "configuration_digest": current.digest(),
-            "members": len(self.fleet.by_node),
+            "members": self.fleet.size,
             "slots_held": self.quota.leases.held_slots(now),
             "open_calls": len(self.entry.open_calls),
             "targets": targets,
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -15,8 +15,6 @@
 from pollenglade_core.lease_rows import LeaseAction
 from pollenglade_core.lease_rows import ReadAnnouncement
 from pollenglade_core.lease_rows import ReadSlot
-from pollenglade_core.lease_rows import SlotRow
-from pollenglade_core.lease_rows import StoredSlotRow
 from pollenglade_core.lease_rows import WriteSlot
 from pollenglade_core.lease_rows import preferred_holder
 from pollenglade_core.lease_rows import slot_of
@@ -25,12 +23,10 @@
 from pollenglade_core.quota import Account
 from pollenglade_core.quota import AskHolder
 from pollenglade_core.quota import Granted
-from pollenglade_core.quota import QuotaAsk
 from pollenglade_core.quota import QuotaBorrower
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import Refused
 from pollenglade_core.quota import SettleHolder
-from pollenglade_core.quota import Settlement
 from pollenglade_core.quota import Spent
 from pollenglade_core.quota import zone_shares
 from pollenglade_core.quota_borrower import BorrowerAction
@@ -44,6 +40,13 @@
 
 from .announcement import announcement_from_wire
 from .announcement import row_name
+from .quota_wire import account_from_wire
+from .quota_wire import ask_from_wire
+from .quota_wire import ask_to_wire
+from .quota_wire import row_to_value
+from .quota_wire import settlements_from_wire
+from .quota_wire import settlements_to_wire
+from .quota_wire import stored_from_row
 
 ADVANCE_INTERVAL_S = 0.1
 LEASE_INTERVAL_S = 1.0
@@ -186,20 +189,12 @@
             # A later turn of the loop, because the borrower is in the middle of an event.
             self._loop.call_soon(self._unreachable, borrower, ask.request_id)
             return
-        payload = [
-            ask.borrower,
-            ask.request_id,
-            list(ask.account),
-            ask.needed,
-            ask.wanted,
-            _settlements_to_wire(ask.settlements),
-        ]
         slot = (action.zone, slot_of(ask.account.organisation))
 
         def on_answer(answer: object) -> None:
             self._on_answer(borrower, action, slot, answer, redirected=hint is not None)
 
-        self._asker.ask_node(node, ASK_TOPIC, payload, on_answer)
+        self._asker.ask_node(node, ASK_TOPIC, ask_to_wire(ask), on_answer)
 
     def _on_answer(
         self,
@@ -230,12 +225,12 @@
     def _settle(self, action: SettleHolder) -> None:
         node = self._holder_of(action.zone, action.account.organisation)
         if node is not None:
-            payload = [list(action.account), _settlements_to_wire(action.settlements)]
+            payload = [list(action.account), settlements_to_wire(action.settlements)]
             self._asker.ask_node(node, SETTLE_TOPIC, payload, lambda answer: None)
 
     def answer_ask(self, payload: object, answer: Callable[[object], None]) -> None:
         """Answer a `quota-ask` of a borrower."""
-        ask = _ask_from_wire(payload)
+        ask = ask_from_wire(payload)
         if ask is None:
             answer(None)
             return
@@ -255,8 +250,8 @@
         answer([])
         if not isinstance(payload, list) or len(payload) != 2:
             return
-        account = _account_from_wire(payload[0])
-        settlements = _settlements_from_wire(payload[1])
+        account = account_from_wire(payload[0])
+        settlements = settlements_from_wire(payload[1])
         if account is not None and settlements is not None:
             self.holder.settle(account, settlements, monotonic())
 
@@ -303,24 +298,19 @@
         if isinstance(row, Unavailable):
             self.leases.on_lost(slot)
         else:
-            stored = None if isinstance(row, Absent) else _stored_from_row(row)
+            stored = None if isinstance(row, Absent) else stored_from_row(row)
             self.leases.on_row(slot, stored, monotonic())
 
     async def _write_slot(self, action: WriteSlot) -> None:
-        row = action.row
-        value = {
-            "holder": row.holder,
-            "incarnation": row.incarnation,
-            "epoch": row.epoch,
-            "attempt": row.attempt,
-        }
         name = self._slot_row_name(action.slot)
-        result = await self._table.write(name, value, action.expected_version, row.attempt)
+        result = await self._table.write(
+            name, row_to_value(action.row), action.expected_version, action.row.attempt
+        )
         now = monotonic()
         if isinstance(result, Written):
             self.leases.on_written(action.slot, result.version, now)
         elif isinstance(result, VersionConflict):
-            stored = None if result.current is None else _stored_from_row(result.current)
+            stored = None if result.current is None else stored_from_row(result.current)
             self.leases.on_row(action.slot, stored, now)
         else:
             self.leases.on_lost(action.slot)
@@ -348,56 +338,3 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(0)
-
-
-def _settlements_to_wire(settlements: Sequence[Settlement]) -> list[list[object]]:
-    return [[item.request_id, item.spent, item.returned] for item in settlements]
-
-
-def _settlements_from_wire(value: object) -> tuple[Settlement, ...] | None:
-    settlements: list[Settlement] = []
-    for item in value if isinstance(value, list) else [None]:
-        if not isinstance(item, list) or len(item) != 3:
-            return None
-        request_id, spent, returned = item
-        if not isinstance(request_id, str):
-            return None
-        if not isinstance(spent, int) or not isinstance(returned, int):
-            return None
-        settlements.append(Settlement(request_id, spent, returned))
-    return tuple(settlements)
-
-
-def _account_from_wire(value: object) -> Account | None:
-    if not isinstance(value, list) or len(value) != 2:
-        return None
-    profile, organisation = value
-    if not isinstance(profile, str) or not isinstance(organisation, str):
-        return None
-    return Account(profile, organisation)
-
-
-def _ask_from_wire(value: object) -> QuotaAsk | None:
-    if not isinstance(value, list) or len(value) != 6:
-        return None
-    borrower, request_id, account_wire, needed, wanted, settlements_wire = value
-    account = _account_from_wire(account_wire)
-    settlements = _settlements_from_wire(settlements_wire)
-    if account is None or settlements is None:
-        return None
-    if not isinstance(borrower, str) or not isinstance(request_id, str):
-        return None
-    if not isinstance(needed, int) or not isinstance(wanted, int) or min(needed, wanted) < 0:
-        return None
-    return QuotaAsk(borrower, request_id, account, needed, wanted, settlements)
-
-
-def _stored_from_row(row: Row) -> StoredSlotRow:
-    value = row.value if isinstance(row.value, dict) else {}
-    slot_row = SlotRow(
-        str(value.get("holder", "")),
-        int(value.get("incarnation", 0)),
-        int(value.get("epoch", 0)),
-        str(value.get("attempt", "")),
-    )
-    return StoredSlotRow(row.version, slot_row)
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_wire.py
@@ -0,0 +1,87 @@
+"""Quota messages on the link, and slot rows in the platform's table."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from pollenglade_core.lease_rows import SlotRow
+from pollenglade_core.lease_rows import StoredSlotRow
+from pollenglade_core.quota import Account
+from pollenglade_core.quota import QuotaAsk
+from pollenglade_core.quota import Settlement
+from pollenglade_net.platform_api import Row
+
+
+def ask_to_wire(ask: QuotaAsk) -> list[object]:
+    """Return an ask as a list for the link."""
+    return [
+        ask.borrower,
+        ask.request_id,
+        list(ask.account),
+        ask.needed,
+        ask.wanted,
+        settlements_to_wire(ask.settlements),
+    ]
+
+
+def row_to_value(row: SlotRow) -> dict[str, object]:
+    """Return a slot row as a JSON value."""
+    return {
+        "holder": row.holder,
+        "incarnation": row.incarnation,
+        "epoch": row.epoch,
+        "attempt": row.attempt,
+    }
+
+
+def settlements_to_wire(settlements: Sequence[Settlement]) -> list[list[object]]:
+    return [[item.request_id, item.spent, item.returned] for item in settlements]
+
+
+def settlements_from_wire(value: object) -> tuple[Settlement, ...] | None:
+    settlements: list[Settlement] = []
+    for item in value if isinstance(value, list) else [None]:
+        if not isinstance(item, list) or len(item) != 3:
+            return None
+        request_id, spent, returned = item
+        if not isinstance(request_id, str):
+            return None
+        if not isinstance(spent, int) or not isinstance(returned, int):
+            return None
+        settlements.append(Settlement(request_id, spent, returned))
+    return tuple(settlements)
+
+
+def account_from_wire(value: object) -> Account | None:
+    if not isinstance(value, list) or len(value) != 2:
+        return None
+    profile, organisation = value
+    if not isinstance(profile, str) or not isinstance(organisation, str):
+        return None
+    return Account(profile, organisation)
+
+
+def ask_from_wire(value: object) -> QuotaAsk | None:
+    if not isinstance(value, list) or len(value) != 6:
+        return None
+    borrower, request_id, account_wire, needed, wanted, settlements_wire = value
+    account = account_from_wire(account_wire)
+    settlements = settlements_from_wire(settlements_wire)
+    if account is None or settlements is None:
+        return None
+    if not isinstance(borrower, str) or not isinstance(request_id, str):
+        return None
+    if not isinstance(needed, int) or not isinstance(wanted, int) or min(needed, wanted) < 0:
+        return None
+    return QuotaAsk(borrower, request_id, account, needed, wanted, settlements)
+
+
+def stored_from_row(row: Row) -> StoredSlotRow:
+    value = row.value if isinstance(row.value, dict) else {}
+    slot_row = SlotRow(
+        str(value.get("holder", "")),
+        int(value.get("incarnation", 0)),
+        int(value.get("epoch", 0)),
+        str(value.get("attempt", "")),
+    )
+    return StoredSlotRow(row.version, slot_row)
