Give the latency probe its own service and organisation, published by command

Cause: in a trial demo with the daemon the probe used the key of the largest organisation, exceeded its rate with it and so caused 32 refusals and 41 failed pairs. Change: a probed deployment with its own contract, published through the pollenglade command; the other profiles go through the configuration store. Ruled out: all 16 keys through the command, because each start of the command takes longer than the change itself.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/demo.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/demo.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Annotated
 
 import typer
 
+from pollenglade_net.http_client import Address
+
 from .added_latency import AddedLatency
 from .added_latency import LatencyProbe
 from .added_latency import ProbePath
+from .deployments import PROBED
 from .deployments import RESIDENCIES
 from .deployments import SALAIRES
 from .fleet import Fleet
@@ -23,40 +25,38 @@
 from .measures import summarise
 from .processes import NODE_MODULE
 from .processes import Processes
+from .publication import publish
+from .publication_command import publish_by_command
 from .report import latency_table
 from .report import summary_table
 from .workload import Deployment
-from .workload import Service
 
 ZONES = 2
 SCALE = 0.01
 """Part of the planned load; one machine carries the targets, the nodes and the callers."""
 
-PROBED = Service("latency-probe", endpoints=ZONES, slots=20, connections=100)
-"""Service that only the latency probe calls.
-
-The other services have a few slots at this scale, and calls that wait for one would hide what a
-node adds.
-"""
-
 app = typer.Typer()
 
 
 def demo_deployments() -> list[Deployment]:
     """Return both deployments, reduced to two zones with one endpoint per service in each."""
-    first, *others = (
-        entry.compact(ZONES, ZONES).scaled(SCALE) for entry in (RESIDENCIES, SALAIRES)
-    )
-    return [replace(first, services=(*first.services, PROBED)), *others]
+    return [entry.compact(ZONES, ZONES).scaled(SCALE) for entry in (RESIDENCIES, SALAIRES)]
 
 
-def probe_paths(fleet: Fleet, deployment: Deployment) -> list[ProbePath]:
+async def publisher(platform: Address, deployment: Deployment) -> dict[str, str]:
+    """Publish the probed deployment as an operator does, the others through the store."""
+    if deployment is PROBED:
+        return await publish_by_command(platform, deployment)
+    return await publish(platform, deployment)
+
+
+def probe_paths(fleet: Fleet) -> list[ProbePath]:
     """Return one path per endpoint of the probed service, through the node on its host."""
-    largest = max(deployment.organisations, key=lambda entry: entry.rate_per_s)
-    key = fleet.keys_by_deployment[deployment.name][largest.id]
+    service, organisation = PROBED.services[0].name, PROBED.organisations[0].id
+    key = fleet.keys_by_deployment[PROBED.name][organisation]
     return [
-        ProbePath(PROBED.name, member.node.caller, member.target.address, key)
-        for member in fleet.members_of(PROBED.name)
+        ProbePath(service, member.node.caller, member.target.address, key)
+        for member in fleet.members_of(service)
     ]
 
 
@@ -76,7 +76,7 @@
         )
         for deployment in deployments
     ]
-    probe = LatencyProbe(probe_paths(fleet, deployments[0]), "probe")
+    probe = LatencyProbe(probe_paths(fleet), "probe")
     async with asyncio.TaskGroup() as group:
         probing = group.create_task(probe.run(duration_s))
         running = [group.create_task(load.run()) for load in loads]
@@ -97,7 +97,9 @@
     with TemporaryDirectory() as folder:
         async with Processes(node_module) as processes:
             typer.echo("starting platform, nodes and targets")
-            fleet = await start_fleet(processes, deployments, Path(folder))
+            fleet = await start_fleet(
+                processes, [*deployments, PROBED], Path(folder), publisher=publisher
+            )
             typer.echo(f"{len(fleet.members)} nodes with targets; load for {duration_s:.0f} s")
             summaries, latency = await measure(fleet, deployments, duration_s)
             typer.echo(summary_table(summaries))
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/deployments.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/deployments.py
@@ -6,6 +6,7 @@
 
 from .workload import Deployment
 from .workload import Latency
+from .workload import Organisation
 from .workload import Route
 from .workload import Service
 from .workload import organisations
@@ -147,4 +148,20 @@
 )
 """Workload B: the wage returns; the worst-served organisation and wrongful refusals matter most."""
 
+PROBED = Deployment(
+    name="probed",
+    zones=RESIDENCIES.zones[:2],
+    services=(Service("latency-probe", endpoints=2, slots=20, connections=100),),
+    routes=(),
+    organisations=(Organisation("probe", rate_per_s=100, burst=200, weight=1, offered_per_s=0.0),),
+)
+"""Service and organisation that only the latency probe uses.
+
+The other services have a few slots at this scale, and calls that wait for one would hide what a
+node adds. Probes under the key of another organisation would use up its rate.
+"""
+
 DEPLOYMENTS_BY_NAME = {deployment.name: deployment for deployment in (RESIDENCIES, SALAIRES)}
+
+ALL_DEPLOYMENTS_BY_NAME = {**DEPLOYMENTS_BY_NAME, PROBED.name: PROBED}
+"""Deployments that a target can belong to."""
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -29,6 +31,9 @@
 ANNOUNCEMENT_S = 3.0
 """Time for every node to learn the targets of the others by announcement and gossip."""
 
+Publisher = Callable[[Address, Deployment], Awaitable[dict[str, str]]]
+"""Publishes profile and keys of a deployment and returns the key of each organisation."""
+
 
 @dataclass(frozen=True)
 class Place:
@@ -108,11 +113,12 @@
     deployments: Sequence[Deployment],
     log_folder: Path,
     node_settings: Mapping[str, str] | None = None,
+    publisher: Publisher = publish,
 ) -> Fleet:
     """Start platform, nodes and targets, publish profiles and keys, wait until nodes serve."""
     fleet = Fleet(processes, await processes.start_platform(), log_folder)
     for deployment in deployments:
-        fleet.keys_by_deployment[deployment.name] = await publish(fleet.platform, deployment)
+        fleet.keys_by_deployment[deployment.name] = await publisher(fleet.platform, deployment)
     gate = asyncio.Semaphore(STARTS_AT_ONCE)
 
     async def start(place: Place) -> Member:
--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/publication_command.py
@@ -0,0 +1,67 @@
+"""Publishes a profile and keys through the `pollenglade` command, as an operator does."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import orjson
+
+from pollenglade_core.profile import Profile
+from pollenglade_net.http_client import Address
+
+from .publication import profile_of
+from .workload import Deployment
+
+
+def profile_text(profile: Profile) -> str:
+    """Return the profile file in TOML for a profile without request rules."""
+    services = ", ".join(f'"{service}"' for service in profile.services)
+    lines = [f'name = "{profile.name}"', f"services = [{services}]", "", "[zones]"]
+    lines += [f"{zone} = {weight}" for zone, weight in profile.zones.items()]
+    for contract in profile.organisations_by_id.values():
+        lines += ["", f"[organisations.{contract.organisation}]"]
+        lines += [f"rate_per_s = {contract.rate_per_s}", f"burst = {contract.burst}"]
+        lines += [f"weight = {contract.weight}"]
+    return "\n".join(lines) + "\n"
+
+
+async def publish_by_command(platform: Address, deployment: Deployment) -> dict[str, str]:
+    """Publish profile and keys; return the key of each organisation.
+
+    Raise RuntimeError with the output of the command where it fails.
+    """
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "profile.toml"
+        path.write_text(profile_text(profile_of(deployment)))
+        await _run(platform, "profile", "publish", str(path))
+    keys: dict[str, str] = {}
+    for organisation in deployment.organisations:
+        document = await _run(platform, "key", "publish", organisation.id)
+        keys[organisation.id] = document["key"]
+    return keys
+
+
+async def _run(platform: Address, *arguments: str) -> dict[str, Any]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "pollenglade_cli",
+        *arguments,
+        "--output",
+        "json",
+        "--platform-url",
+        f"http://{platform}",
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    if process.returncode != 0:
+        text = errors.decode(errors="replace")
+        raise RuntimeError(f"pollenglade {' '.join(arguments)} exited {process.returncode}: {text}")
+    document: dict[str, Any] = orjson.loads(output)
+    return document
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
@@ -18,7 +18,7 @@
 
 from .announcer import Announcer
 from .announcer import TargetState
-from .deployments import DEPLOYMENTS_BY_NAME
+from .deployments import ALL_DEPLOYMENTS_BY_NAME
 from .run_log import RunLog
 from .target import Target
 from .target import TargetSettings
@@ -110,7 +110,7 @@
 ) -> None:
     """Run one target until SIGTERM or SIGINT."""
     log = RunLog(settings.service, log_file)
-    routes = DEPLOYMENTS_BY_NAME[workload].routes_by_name
+    routes = ALL_DEPLOYMENTS_BY_NAME[workload].routes_by_name
     target = Target(settings, routes, log, Random(seed))
     process = TargetProcess(target, settings, control, log)
     loop = asyncio.get_running_loop()
--- a/tests/test_system/test_demo.py
+++ b/tests/test_system/test_demo.py
@@ -7,7 +7,6 @@
 import os
 import tempfile
 import unittest
-from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
@@ -49,12 +48,11 @@
 
     async def test_demo_fails_where_a_process_fails(self) -> None:
         """An exit code of 0 must mean that everything stopped gracefully."""
-        small = [replace(SMALL, services=(*SMALL.services, replace(demo.PROBED, endpoints=1)))]
         for environment, expected in (({}, 0), ({"PLAIN_NODE_EXIT_CODE": "3"}, 1)):
             output = io.StringIO()
             with (
                 mock.patch.dict(os.environ, environment),
-                mock.patch.object(demo, "demo_deployments", return_value=small),
+                mock.patch.object(demo, "demo_deployments", return_value=[SMALL]),
                 contextlib.redirect_stdout(output),
             ):
                 self.assertEqual(expected, await demo.run_demo(2.0, PLAIN_NODE), output.getvalue())
