--- a/packages/pollenglade-core/tests/test_core/test_membership.py
+++ b/packages/pollenglade-core/tests/test_core/test_membership.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenglade_core.member import ServiceOffer
 from pollenglade_core.membership import GossipMessage
 from pollenglade_core.membership import Member
 from pollenglade_core.membership import MemberState
@@ -18,10 +19,12 @@
 from pollenglade_core.membership import Prober
 from pollenglade_core.membership import WireError
 
+OFFERS = (ServiceOffer("fees", 10),)
+
 
 def member(name: str, zone: str = "z0", incarnation: int = 1) -> Member:
     """Return a live member."""
-    return Member(name, incarnation, zone, "r", name, "10.0.0.1:1", "10.0.0.1:2", ("fees",))
+    return Member(name, incarnation, zone, "r", name, "10.0.0.1:1", "10.0.0.1:2", OFFERS)
 
 
 def exchange(a: MemberTable, b: MemberTable, now: float) -> None:
