Ask the owner of a claim, send suspected calls to one node, measure control cost

Cause: a claim whose owner could not record the outcome was answered as in progress until its retention ended; a suspected call could run at several targets at once; control cost by fleet size had no measurement. Change: entry nodes ask the process named in a claim whether it still runs it (250 ms, else taken as running); entry nodes that know of a crash send the call to the rendezvous choice among the usable nodes; subcommand control-cost. Ruled out: a time in the claim row, because hosts have no common clock.

--- a/packages/pollenglade-core/src/pollenglade_core/routing.py
+++ b/packages/pollenglade-core/src/pollenglade_core/routing.py
@@ -80,6 +80,14 @@
         if found is not None:
             found[0].on_cancel(found[1])
 
+    def usable_nodes(self, service: str, now: float) -> frozenset[str]:
+        """Return the nodes of a service that take calls at the moment."""
+        pool = self._pools_by_service.get(service)
+        if pool is None:
+            return frozenset()
+        trackers = pool.trackers_by_node.items()
+        return frozenset(node for node, tracker in trackers if tracker.is_usable(now))
+
     def ejected(self, service: str, now: float) -> frozenset[str]:
         """Return the nodes whose endpoint of a service is ejected at the moment."""
         pool = self._pools_by_service.get(service)
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -9,6 +9,7 @@
 from . import cutting_proxy
 from . import demo
 from . import target_standin
+from .control_cost import control_cost
 from .hop_cost import hop_cost
 from .link_comparison import link_comparison
 from .platform_command import platform
@@ -24,6 +25,7 @@
 app.command()(platform)
 app.command()(link_comparison)
 app.command()(hop_cost)
+app.command()(control_cost)
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
 app.add_typer(caller.app)
--- a/packages/pollenglade-node/src/pollenglade_node/claim_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/claim_service.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from time import monotonic
 from typing import Any
+from typing import Protocol
 
 from pollenglade_core.claim_messages import Answer
 from pollenglade_core.claim_messages import AnswerLost
@@ -49,6 +50,22 @@
 ClaimName = tuple[str, str]
 """Organisation and hash of the idempotency key."""
 
+CLAIM_TOPIC = "claim-status"
+OWNER_TIMEOUT_S = 0.25
+"""Wait for the entry node of a claim; without its answer it is taken to run the call."""
+
+RUNNING = "running"
+IDLE = "idle"
+
+
+class Asker(Protocol):
+    """Sends questions to nodes."""
+
+    def ask_node(
+        self, node: str, topic: str, payload: object, callback: Callable[[object], None]
+    ) -> None:
+        """Ask a node; `callback` gets the answer, or None where there is none."""
+
 
 class ClaimService:
     """Owner of the claim machines of one entry node.
@@ -62,11 +79,13 @@
         process: str,
         table: Table,
         is_alive: Callable[[str], bool],
+        asker: Asker,
         source: RandomSource,
     ) -> None:
         self.process = process
         self.table = table
         self._is_alive = is_alive
+        self._asker = asker
         self._source = source
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -92,14 +111,41 @@
         self._runs_by_name[name] = run
         run.start()
 
-    def is_owner_running(self, row: ClaimRow | InvalidRow, name: ClaimName) -> bool:
-        """Return whether the process that claimed a row may still run the call."""
+    async def is_owner_running(self, row: ClaimRow | InvalidRow) -> bool:
+        """Return whether the process that claimed a row may still run the call.
+
+        A claim stays `claimed` where its owner could not record the outcome, so the owner is asked.
+        """
         if isinstance(row, InvalidRow) or row.state is not RowState.CLAIMED:
             return False
         if row.entry_node == self.process:
             # The run that asks is another attempt, and there is one run for each name.
             return False
-        return self._is_alive(row.entry_node)
+        if not self._is_alive(row.entry_node):
+            return False
+        answered: asyncio.Future[object] = self._loop.create_future()
+
+        def on_answer(answer: object) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        node = row.entry_node.rpartition("/")[0]
+        payload = [row.organisation, row.key_hash, row.entry_node]
+        self._asker.ask_node(node, CLAIM_TOPIC, payload, on_answer)
+        try:
+            async with asyncio.timeout(OWNER_TIMEOUT_S):
+                return await answered != IDLE
+        except TimeoutError:
+            return True
+
+    def answer_status(self, payload: object, answer: Callable[[object], None]) -> None:
+        """Answer a `claim-status` question: whether this process still runs a claim."""
+        if not isinstance(payload, list) or len(payload) != 3:
+            answer(None)
+            return
+        organisation, key_hash, process = payload
+        running = process == self.process and (organisation, key_hash) in self._runs_by_name
+        answer(RUNNING if running else IDLE)
 
     def forget(self, name: ClaimName) -> None:
         """Drop a run that needs no further operation."""
@@ -200,16 +246,16 @@
             await asyncio.sleep(action.after_s)
         result = await self._service.table.read(action.name)
         if isinstance(result, Row):
-            self._handle(self._exists(result))
+            self._handle(await self._exists(result))
         elif isinstance(result, Unavailable):
             self._handle(PlatformUnavailable())
         else:
             self._handle(ClaimAbsent())
 
-    def _exists(self, row: Row) -> ClaimExists:
+    async def _exists(self, row: Row) -> ClaimExists:
         value = row.value if isinstance(row.value, dict) else {}
         claim = ClaimRow.from_wire(value)
-        running = self._service.is_owner_running(claim, self._name)
+        running = await self._service.is_owner_running(claim)
         return ClaimExists(claim, row.version, running)
 
     async def _write(
@@ -221,7 +267,8 @@
         if isinstance(result, Written):
             self._handle(ClaimInserted(result.version) if claims else RecordWritten())
         elif isinstance(result, VersionConflict):
-            self._handle(ClaimAbsent() if result.current is None else self._exists(result.current))
+            current = result.current
+            self._handle(ClaimAbsent() if current is None else await self._exists(current))
         elif isinstance(result, platform_api.AnswerLost):
             self._handle(AnswerLost() if claims else RecordLost())
         else:
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry.py
@@ -159,6 +159,10 @@
         """Return a delay with jitter for a refusal."""
         return jittered(RETRY_AFTER_S, self.source)
 
+    def is_suspect(self, context: CallContext, now: float) -> bool:
+        """Return whether a call like this was in flight at a crash of its target."""
+        return context.crash_count > 0 or self.serving.ledger.crashes(context.fingerprint, now) > 0
+
     def handle(self, exchange: Exchange) -> None:
         """Take a request from a caller or from a target of this host."""
         request = exchange.request
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -15,6 +15,7 @@
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import suspect_runner
 from pollenglade_core.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
@@ -90,9 +91,7 @@
         if context.remaining_s(now) <= 0.0:
             self.finish_refused(Refusal(Reason.DEADLINE, detail="the deadline has passed"))
             return
-        route = self._entry.router.pick(
-            context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        route = self._pick(now)
         if isinstance(route, Refusal):
             self.finish_refused(route)
             return
@@ -106,6 +105,18 @@
             return
         self._start_attempt(route, now)
 
+    def _pick(self, now: float) -> Route | Refusal:
+        context = self.context
+        excluded = frozenset(self._excluded)
+        if self._entry.is_suspect(context, now):
+            # All entry nodes send a suspected call to the same node, which runs one at a time.
+            nodes = self._entry.router.usable_nodes(context.service, now) - excluded
+            runner = suspect_runner(context.fingerprint, nodes)
+            if runner is not None:
+                others = self._entry.router.usable_nodes(context.service, now) - {runner}
+                excluded = excluded | others
+        return self._entry.router.pick(context.service, now, excluded, self._entry.source)
+
     def _start_attempt(self, route: Route, now: float) -> None:
         node = route.node
         self._route = route
@@ -247,9 +258,7 @@
     def _resend(self, refusal: Refusal) -> None:
         self.context.call_id = self._entry.next_call_id()
         now = monotonic()
-        available = self._entry.router.pick(
-            self.context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        available = self._pick(now)
         if isinstance(available, Refusal):
             # The reason of the attempt says more than the lack of a further node.
             self.finish_refused(refusal)
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -34,6 +34,7 @@
 from pollenglade_net.platform_client import PlatformClient
 
 from .call_counter import CallCounter
+from .claim_service import CLAIM_TOPIC
 from .claim_service import ClaimService
 from .configuration_sync import ConfigurationSync
 from .control import ControlApi
@@ -121,7 +122,11 @@
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
         self.claims = ClaimService(
-            f"{settings.node}/{incarnation:x}", self._platform, self.fleet.is_process_alive, fast
+            f"{settings.node}/{incarnation:x}",
+            self._platform,
+            self.fleet.is_process_alive,
+            self.links,
+            fast,
         )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
@@ -154,6 +159,7 @@
         self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
         self.links.on_peer_drain = self._on_peer_drain
         self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
+        self.links.answer_by_topic[CLAIM_TOPIC] = self.claims.answer_status
         self.serving.notify = self.crash_notices.notify
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
