--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import suspect_runner
 from pollenglade_core.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
@@ -93,9 +93,7 @@
         if context.remaining_s(now) <= 0.0:
             self.finish_refused(Refusal(Reason.DEADLINE, detail="the deadline has passed"))
             return
-        route = self._entry.router.pick(
-            context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        route = self._pick(now)
         if isinstance(route, Refusal):
             self.finish_refused(route)
             return
@@ -109,6 +107,18 @@
             return
         self._start_attempt(route, now)
 
+    def _pick(self, now: float) -> Route | Refusal:
+        context = self.context
+        excluded = frozenset(self._excluded)
+        if self._entry.is_suspect(context, now):
+            # All entry nodes send a suspected call to the same node, which runs one at a time.
+            nodes = self._entry.router.usable_nodes(context.service, now) - excluded
+            runner = suspect_runner(context.fingerprint, nodes)
+            if runner is not None:
+                others = self._entry.router.usable_nodes(context.service, now) - {runner}
+                excluded = excluded | others
+        return self._entry.router.pick(context.service, now, excluded, self._entry.source)
+
     def _start_attempt(self, route: Route, now: float) -> None:
         node = route.node
         self._route = route
@@ -118,7 +128,7 @@
         allowance = self.context.allowance
         self._lent = max(0, allowance.remaining - 1)
         allowance.remaining -= self._lent
-        attempt_context = replace(self.context, allowance=RetryAllowance(self._lent))
+        attempt_context = self.context.with_allowance(RetryAllowance(self._lent))
         sent = self._entry.dispatcher.send(node, attempt_context, self.request, self)
         if not self.is_open or self._route is not route:
             return
@@ -252,9 +262,7 @@
     def _resend(self, refusal: Refusal) -> None:
         self.context.call_id = self._entry.next_call_id()
         now = monotonic()
-        available = self._entry.router.pick(
-            self.context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        available = self._pick(now)
         if isinstance(available, Refusal):
             # The reason of the attempt says more than the lack of a further node.
             self.finish_refused(refusal)
--- a/packages/pollenglade-node/src/pollenglade_node/metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/metrics.py
@@ -195,7 +195,7 @@
         return _one(len(self._parts.quota.leases.held_slots(monotonic())))
 
     def _members(self) -> Iterator[Observation]:
-        return _one(len(self._parts.fleet.by_node))
+        return _one(self._parts.fleet.size)
 
 
 def _one(value: float) -> Iterator[Observation]:
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -43,6 +43,8 @@
 from .announcement import row_name
 from .quota_wire import account_from_wire
 from .quota_wire import ask_from_wire
+from .quota_wire import ask_to_wire
+from .quota_wire import row_to_value
 from .quota_wire import settlements_from_wire
 from .quota_wire import settlements_to_wire
 from .quota_wire import stored_from_row
@@ -202,20 +204,12 @@
             # A later turn of the loop, because the borrower is in the middle of an event.
             self._loop.call_soon(self._unreachable, borrower, ask.request_id)
             return
-        payload = [
-            ask.borrower,
-            ask.request_id,
-            list(ask.account),
-            ask.needed,
-            ask.wanted,
-            settlements_to_wire(ask.settlements),
-        ]
         slot = (action.zone, slot_of(ask.account.organisation))
 
         def on_answer(answer: object) -> None:
             self._on_answer(borrower, action, slot, answer, redirected=hint is not None)
 
-        self._asker.ask_node(node, ASK_TOPIC, payload, on_answer)
+        self._asker.ask_node(node, ASK_TOPIC, ask_to_wire(ask), on_answer)
 
     def _on_answer(
         self,
@@ -328,15 +322,10 @@
             self.leases.on_row(slot, stored, monotonic())
 
     async def _write_slot(self, action: WriteSlot) -> None:
-        row = action.row
-        value = {
-            "holder": row.holder,
-            "incarnation": row.incarnation,
-            "epoch": row.epoch,
-            "attempt": row.attempt,
-        }
         name = self._slot_row_name(action.slot)
-        result = await self._table.write(name, value, action.expected_version, row.attempt)
+        result = await self._table.write(
+            name, row_to_value(action.row), action.expected_version, action.row.attempt
+        )
         now = monotonic()
         if isinstance(result, Written):
             self.leases.on_written(action.slot, result.version, now)
--- a/packages/pollenglade-node/src/pollenglade_node/quota_wire.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_wire.py
@@ -1,4 +1,4 @@
-"""Forms of quota messages on the link and of quota rows on the platform."""
+"""Quota messages on the link, and slot rows in the platform's table."""
 
 from __future__ import annotations
 
@@ -12,13 +12,33 @@
 from pollenglade_net.platform_api import Row
 
 
+def ask_to_wire(ask: QuotaAsk) -> list[object]:
+    """Return an ask as a list for the link."""
+    return [
+        ask.borrower,
+        ask.request_id,
+        list(ask.account),
+        ask.needed,
+        ask.wanted,
+        settlements_to_wire(ask.settlements),
+    ]
+
+
+def row_to_value(row: SlotRow) -> dict[str, object]:
+    """Return a slot row as a JSON value."""
+    return {
+        "holder": row.holder,
+        "incarnation": row.incarnation,
+        "epoch": row.epoch,
+        "attempt": row.attempt,
+    }
+
+
 def settlements_to_wire(settlements: Sequence[Settlement]) -> list[list[object]]:
-    """Encode the settlements of a message."""
     return [[item.request_id, item.spent, item.returned] for item in settlements]
 
 
 def settlements_from_wire(value: object) -> tuple[Settlement, ...] | None:
-    """Decode settlements; return None where one has another form."""
     settlements: list[Settlement] = []
     for item in value if isinstance(value, list) else [None]:
         if not isinstance(item, list) or len(item) != 3:
@@ -33,7 +53,6 @@
 
 
 def account_from_wire(value: object) -> Account | None:
-    """Decode an account; return None where it has another form."""
     if not isinstance(value, list) or len(value) != 2:
         return None
     profile, organisation = value
@@ -43,7 +62,6 @@
 
 
 def ask_from_wire(value: object) -> QuotaAsk | None:
-    """Decode the payload of a `quota-ask`; return None where it has another form."""
     if not isinstance(value, list) or len(value) != 6:
         return None
     borrower, request_id, account_wire, needed, wanted, settlements_wire = value
@@ -59,7 +77,6 @@
 
 
 def stored_from_row(row: Row) -> StoredSlotRow:
-    """Decode the row of a quota slot; a field that is missing gets an empty value."""
     value = row.value if isinstance(row.value, dict) else {}
     slot_row = SlotRow(
         str(value.get("holder", "")),
