--- a/packages/pollenglade-node/src/pollenglade_node/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -22,6 +23,7 @@
 from .announcement import NodeAnnouncement
 from .announcement import announcement_from_wire
 from .announcement import row_name
+from .announcement_sweep import AnnouncementSweep
 
 RENEWAL_INTERVAL_S = 10.0
 """Interval of announcements; 880 nodes make 88 writes per second."""
@@ -49,9 +51,12 @@
         self._loop = asyncio.get_running_loop()
         self._row_version = 0
         self._renewal = 0
+        self._version_by_row: dict[str, int] = {}
+        self._sweep = AnnouncementSweep(own().node, own().zone, table)
         self._wake = asyncio.Event()
         self._announced = asyncio.Event()
         self.live_count: Callable[[str], int] = lambda zone: 1
+        self.live_nodes: Callable[[str], Sequence[str]] = lambda zone: ()
         self.is_relay: Callable[[], bool] = lambda: True
         self.on_members: Callable[[Sequence[Member]], None] = lambda members: None
         self.on_renewed: Callable[[float, bool], None] = lambda requested_at, alone: None
@@ -111,11 +116,19 @@
             if isinstance(rows, Unavailable):
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            self.on_members(members_from_rows(rows))
+            self.on_members(members_from_rows(rows, time.time()))
+            await self._sweep_unchanged(rows)
             await asyncio.sleep(RESEED_INTERVAL_S * self._source.uniform(0.9, 1.1))
             while not self.is_relay():
                 await asyncio.sleep(RESEED_INTERVAL_S)
 
+    async def _sweep_unchanged(self, rows: Sequence[Row]) -> None:
+        unchanged = [row for row in rows if self._version_by_row.get(row.name) == row.version]
+        self._version_by_row = {row.name: row.version for row in rows}
+        zone = self._own().zone
+        if self._sweep.is_due(self.live_nodes(zone), monotonic()):
+            await self._sweep.sweep(unchanged)
+
     async def close(self) -> None:
         """Stop announcing and reading."""
         for task in self._tasks:
@@ -132,6 +145,7 @@
         region=member.region,
         link_address=member.link_address,
         control_address=member.control_address,
+        announced_at=time.time(),
         renewal=renewal,
         leaving=member.state is MemberState.LEAVING,
         targets=tuple(
@@ -140,10 +154,12 @@
     )
 
 
-def members_from_rows(rows: Sequence[Row]) -> list[Member]:
-    """Return a member entry for each valid row of a node that is not leaving.
+def members_from_rows(rows: Sequence[Row], wall_s: float) -> list[Member]:
+    """Return a member entry for each valid row of a node that is not leaving or gone.
 
-    Their sequence is 0, so that whatever gossip knows of the same process goes first.
+    `wall_s` is the time in seconds since the epoch; it leaves out rows of former nodes. A node with
+    a wrong clock is learned by gossip instead. The sequence of the entries is 0, so that whatever
+    gossip knows of the same process goes first.
     """
     announcements = [announcement_from_wire(row.value) for row in rows]
     return [
@@ -158,5 +174,5 @@
             offers=tuple(ServiceOffer(target.service, target.slots) for target in item.targets),
         )
         for item in announcements
-        if item is not None and not item.leaving
+        if item is not None and not item.leaving and not item.is_stale(wall_s)
     ]
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
+from dataclasses import dataclass
 from time import monotonic
 from typing import Any
 from typing import Protocol
@@ -56,6 +57,18 @@
 Done = Callable[[Refusal | None], None]
 
 
+@dataclass(slots=True)
+class QuotaCounts:
+    """Since the start: asks that this node sent as a borrower, and its answers as a holder."""
+
+    asks: int = 0
+    unreachable: int = 0
+    grants: int = 0
+    tokens_granted: int = 0
+    denials: int = 0
+    redirects: int = 0
+
+
 class Peers(Protocol):
     """What the quota needs to know of other nodes."""
 
@@ -101,6 +114,7 @@
         self.leases = ZoneLeases(node, incarnation)
         self.holder = QuotaHolder(self.leases)
         self._accounts: set[Account] = set()
+        self.counts = QuotaCounts()
 
     async def start(self) -> None:
         """Start the timers."""
@@ -184,6 +198,7 @@
 
     def _ask(self, borrower: QuotaBorrower, action: AskHolder, hint: str | None) -> None:
         ask = action.ask
+        self.counts.asks += 1
         node = hint or self._holder_of(action.zone, ask.account.organisation)
         if node is None:
             # A later turn of the loop, because the borrower is in the middle of an event.
@@ -220,6 +235,7 @@
             self._apply(borrower, borrower.on_denied(request_id, wait_s, now))
 
     def _unreachable(self, borrower: QuotaBorrower, request_id: str) -> None:
+        self.counts.unreachable += 1
         self._apply(borrower, borrower.on_unreachable(request_id, monotonic()))
 
     def _settle(self, action: SettleHolder) -> None:
@@ -237,12 +253,16 @@
         now = monotonic()
         slot = slot_of(ask.account.organisation)
         if self.leases.hold(slot, now) is None:
+            self.counts.redirects += 1
             answer(["redirect", 0, ADVANCE_INTERVAL_S, self.leases.holder_of(slot)])
             return
         result = self.holder.ask(ask, now)
         if isinstance(result, Granted):
+            self.counts.grants += 1
+            self.counts.tokens_granted += result.tokens
             answer(["granted", result.tokens, 0.0, ""])
         else:
+            self.counts.denials += 1
             answer(["denied", 0, result.retry_after_s, ""])
 
     def answer_settle(self, payload: object, answer: Callable[[object], None]) -> None:
