--- a/packages/pollenglade-node/src/pollenglade_node/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/presence.py
@@ -158,10 +158,11 @@
 
 
 def members_from_rows(rows: Sequence[Row], wall_s: float) -> list[Member]:
-    """Return a member entry for each valid row that is not stale, of a node that is not leaving.
+    """Return a member entry for each valid row of a node that is not leaving or gone.
 
-    A live node whose clock is behind looks stale; it finds the others and joins them by gossip.
-    Their sequence is 0, so that whatever gossip knows of the same process goes first.
+    `wall_s` is the time in seconds since the epoch; it leaves out rows of former nodes. A node with
+    a wrong clock is learned by gossip instead. The sequence of the entries is 0, so that whatever
+    gossip knows of the same process goes first.
     """
     announcements = [announcement_from_wire(row.value) for row in rows]
     return [
--- a/packages/pollenglade-node/tests/test_node/test_presence.py
+++ b/packages/pollenglade-node/tests/test_node/test_presence.py
@@ -102,18 +102,6 @@
         return Presence(table, lambda: own, Random(1))
 
 
-class MembersTest(unittest.TestCase):
-    def test_former_nodes_are_no_members(self) -> None:
-        """A node that starts would send its first calls to nodes that ended."""
-        rows = [
-            row("fresh", 7, WALL_S - STALE_AFTER_S + 1.0),
-            row("stale", 7, WALL_S - STALE_AFTER_S - 1.0),
-            row("ahead", 7, WALL_S + 1e6),
-            Row("nodes/east/swept", 7, TOMBSTONE, "x"),
-        ]
-        self.assertEqual(["fresh", "ahead"], [m.node for m in members_from_rows(rows, WALL_S)])
-
-
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def test_one_node_of_a_zone_sweeps(self) -> None:
         """Several sweepers would multiply the writes; none would let the rows grow."""
@@ -126,3 +114,20 @@
             if Fleet(gossip).is_sweeper():
                 sweepers.append(own.zone)
         self.assertEqual(["east", "west"], sweepers)
+
+
+class SeedTest(unittest.TestCase):
+    def test_former_nodes_are_not_seeded(self) -> None:
+        """A new node must not call former nodes, nor take a tombstone for a node."""
+        leaving = row("leaving", 7, WALL_S)
+        leaving.value["leaving"] = True
+        rows = [
+            row("fresh", 7, WALL_S - STALE_AFTER_S + 1.0),
+            row("old", 7, WALL_S - STALE_AFTER_S - 1.0),
+            row("ahead", 7, WALL_S + 1e6),
+            row("no-time", 7, None),
+            Row("nodes/east/gone", 2, TOMBSTONE, "x"),
+            leaving,
+        ]
+        seeded = {member.node for member in members_from_rows(rows, WALL_S)}
+        self.assertEqual({"fresh", "ahead", "no-time"}, seeded)
