Bring about partitions between zones with real processes

Cause: a node had one link and one control address for binding and advertising, and its outgoing connections came from 127.0.0.1, so that a proxy between zones could neither stand in front of a node nor tell the zone of a client. Ruled out: one proxy for each pair of zones, which needs another advertised address for each source zone; a zone header, which links do not carry. With conduct_of changed to ignore the source zone, test_zone_relay failed: "True != False : ('a', 'a')", zone a was cut off from itself.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -9,6 +9,7 @@
 from . import cutting_proxy
 from . import demo
 from . import target_standin
+from . import zone_relay
 from .hop_cost import hop_cost
 from .link_comparison import link_comparison
 from .platform_command import platform
@@ -26,6 +27,7 @@
 app.command()(hop_cost)
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
+app.add_typer(zone_relay.app)
 app.add_typer(caller.app)
 app.add_typer(demo.app)
 app.add_typer(bench.app)
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -26,6 +26,9 @@
 """Time for a graceful stop; the drain limit of a node is 30 s."""
 
 NODE_MODULE = "pollenglade_node.main"
+LAST_STOPPED = ("platform", "zone-relay")
+"""Processes that nodes need while they leave."""
+
 KEPT_LINES = 2_000
 MAX_LINE_BYTES = 1024 * 1024
 PR_SET_PDEATHSIG = 1
@@ -100,6 +103,15 @@
             self._lines.append(line.decode(errors="replace").rstrip())
 
 
+@dataclass(frozen=True)
+class NodeAddresses:
+    """Where a node listens."""
+
+    caller: Address
+    link: Address
+    control: Address
+
+
 @dataclass(frozen=True)
 class NodeProcess:
     """A node with its addresses."""
@@ -144,9 +156,13 @@
         await self.stop_all(0.5 if kind is not None else STOP_TIMEOUT_S)
         await self._client.close()
 
-    def free_address(self) -> Address:
+    def free_address(self, host: str = LOOPBACK) -> Address:
         """Return a loopback address that nothing listens on."""
-        return Address(LOOPBACK, self._ports.take())
+        return Address(host, self._ports.take())
+
+    def node_addresses(self, host: str = LOOPBACK) -> NodeAddresses:
+        """Return free addresses for a node."""
+        return NodeAddresses(*(self.free_address(host) for _ in range(3)))
 
     async def start(
         self, name: str, command: Sequence[str], environment: Mapping[str, str] | None = None
@@ -184,25 +200,26 @@
         platform: Address,
         region: str = "r1",
         settings: Mapping[str, str] | None = None,
+        addresses: NodeAddresses | None = None,
     ) -> NodeProcess:
-        """Start a node and wait until it is healthy.
+        """Start a node and wait until it is healthy; `addresses` are those of a former process.
 
         A node is ready only once it has a configuration; `wait_serving` waits for that.
         """
-        caller, link, control = (self.free_address() for _ in range(3))
+        bound = addresses or self.node_addresses()
         environment = {
             "POLLENGLADE_NODE": name,
             "POLLENGLADE_ZONE": zone,
             "POLLENGLADE_REGION": region,
-            "POLLENGLADE_CALLER_ADDRESS": str(caller),
-            "POLLENGLADE_LINK_ADDRESS": str(link),
-            "POLLENGLADE_CONTROL_ADDRESS": str(control),
+            "POLLENGLADE_CALLER_ADDRESS": str(bound.caller),
+            "POLLENGLADE_LINK_ADDRESS": str(bound.link),
+            "POLLENGLADE_CONTROL_ADDRESS": str(bound.control),
             "POLLENGLADE_PLATFORM_URL": f"http://{platform}",
             **(settings or {}),
         }
         process = await self.start(name, ["-m", self._node_module], environment)
-        await self.wait_ready(process, control, "/health")
-        return NodeProcess(process, name, zone, caller, link, control)
+        await self.wait_ready(process, bound.control, "/health")
+        return NodeProcess(process, name, zone, bound.caller, bound.link, bound.control)
 
     async def wait_serving(self, node: NodeProcess) -> None:
         """Wait until a node has a configuration and serves calls."""
@@ -266,6 +283,6 @@
 
 def _stages(by_name: Mapping[str, ManagedProcess]) -> list[list[ManagedProcess]]:
     # The platform goes last, because nodes write to it while they leave.
-    first = [process for name, process in by_name.items() if name != "platform"]
-    last = [process for name, process in by_name.items() if name == "platform"]
+    first = [process for name, process in by_name.items() if name not in LAST_STOPPED]
+    last = [process for name, process in by_name.items() if name in LAST_STOPPED]
     return [first, last]
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/relay.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -109,12 +110,23 @@
 
 
 class Relay:
-    """Listens on one address and relays each connection to one upstream address."""
+    """Listens on one address and relays each connection to one upstream address.
 
-    def __init__(self, upstream_host: str, upstream_port: int) -> None:
+    `conduct_of` gives the conduct for the IP address of a client; without it all connections have
+    the conduct that `apply` sets.
+    """
+
+    def __init__(
+        self,
+        upstream_host: str,
+        upstream_port: int,
+        conduct_of: Callable[[str], Conduct] | None = None,
+    ) -> None:
         self._upstream = (upstream_host, upstream_port)
         self._conduct = Conduct()
+        self._conduct_of = conduct_of or (lambda host: self._conduct)
         self._tasks_by_connection: dict[Connection, asyncio.Task[None]] = {}
+        self._host_by_connection: dict[Connection, str] = {}
         self._server: asyncio.Server | None = None
 
     @property
@@ -145,21 +157,33 @@
         """Change all connections; with `only_open` later connections keep the former conduct."""
         if not only_open:
             self._conduct = conduct
-        for connection, task in self._tasks_by_connection.items():
-            connection.apply(conduct)
-            if conduct.mode is Mode.CUT:
-                task.cancel()
+        for connection in self._tasks_by_connection:
+            self._change(connection, conduct)
+
+    def refresh(self) -> None:
+        """Change all open connections to the conduct that `conduct_of` gives now."""
+        for connection, host in self._host_by_connection.items():
+            self._change(connection, self._conduct_of(host))
+
+    def _change(self, connection: Connection, conduct: Conduct) -> None:
+        connection.apply(conduct)
+        if conduct.mode is Mode.CUT:
+            self._tasks_by_connection[connection].cancel()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # The listener stays open in every mode: a refused connection would tell a peer that the
         # process has ended, which a partition does not.
-        if self._conduct.mode is Mode.CUT:
+        host = str(writer.get_extra_info("peername")[0])
+        conduct = self._conduct_of(host)
+        if conduct.mode is Mode.CUT:
             writer.transport.abort()
             return
-        connection = Connection(self._conduct)
+        connection = Connection(conduct)
+        self._host_by_connection[connection] = host
         task = asyncio.ensure_future(connection.run(reader, writer, *self._upstream))
         self._tasks_by_connection[connection] = task
         try:
             await asyncio.wait([task])
         finally:
             del self._tasks_by_connection[connection]
+            del self._host_by_connection[connection]
--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_relay.py
@@ -0,0 +1,131 @@
+"""Subcommand `zone-relay`: stands between zones and applies rules by source and destination."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Mapping
+from typing import Annotated
+
+import typer
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_message import json_response
+from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import async_handler
+
+from .relay import Conduct
+from .relay import Mode
+from .relay import Relay
+
+app = typer.Typer()
+
+
+class Rule(BaseModel):
+    """Conduct of the connections from one zone to another; `cut` refuses, `silent` holds."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    source: str
+    destination: str
+    mode: Mode = Mode.PASS
+    delay_s: float = Field(default=0.0, ge=0.0, le=60.0)
+
+
+class RulesDocument(BaseModel):
+    """Body of `PUT /rules`, which replaces all rules; pairs without a rule pass."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    rules: tuple[Rule, ...]
+
+
+class RouteDocument(BaseModel):
+    """Body of `POST /routes`: a port in front of `upstream`, which is in zone `zone`."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    zone: str
+    upstream: str
+    listen: str
+
+
+class ZoneRelay:
+    """Relays to the ports of all zones; `zones_by_network` maps `127.0.1` to a zone."""
+
+    def __init__(self, zones_by_network: Mapping[str, str]) -> None:
+        self._zones = zones_by_network
+        self._relays: list[Relay] = []
+        self._conducts: dict[tuple[str, str], Conduct] = {}
+        self._control = HttpServer(async_handler(self.handle))
+
+    async def start(self, control: Address) -> int:
+        """Listen on the control address and return its port."""
+        return await self._control.start(control.host, control.port)
+
+    async def close(self) -> None:
+        """Close every listener and connection."""
+        await self._control.close()
+        await asyncio.gather(*(relay.close() for relay in self._relays))
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request on the control port."""
+        try:
+            if (request.method, request.target) == ("PUT", b"/rules"):
+                self.apply(RulesDocument.model_validate_json(request.body).rules)
+            elif (request.method, request.target) == ("POST", b"/routes"):
+                await self.add(RouteDocument.model_validate_json(request.body))
+            elif request.method != "GET":
+                return json_response(405, {"detail": "use PUT /rules, POST /routes, GET /status"})
+        except (ValidationError, ValueError, OSError) as error:
+            return json_response(400, {"detail": str(error)})
+        return json_response(200, {"open": sum(relay.open_connections for relay in self._relays)})
+
+    def apply(self, rules: tuple[Rule, ...]) -> None:
+        """Replace all rules, also for connections that are open."""
+        self._conducts = {
+            (rule.source, rule.destination): Conduct(rule.mode, rule.delay_s) for rule in rules
+        }
+        for relay in self._relays:
+            relay.refresh()
+
+    async def add(self, route: RouteDocument) -> None:
+        """Listen in front of one upstream address."""
+        upstream, listen = Address.parse(route.upstream), Address.parse(route.listen)
+
+        def conduct_of(host: str) -> Conduct:
+            source = self._zones.get(host.rpartition(".")[0], "")
+            return self._conducts.get((source, route.zone), Conduct())
+
+        relay = Relay(upstream.host, upstream.port, conduct_of)
+        await relay.start(listen.host, listen.port)
+        self._relays.append(relay)
+
+
+async def serve(zones_by_network: Mapping[str, str], control: Address) -> None:
+    """Run the relay until SIGTERM or SIGINT."""
+    relay = ZoneRelay(zones_by_network)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await relay.start(control)
+    await stop.wait()
+    await relay.close()
+
+
+@app.command("zone-relay")
+def zone_relay(
+    control: Annotated[str, typer.Option(help="Address of the control port.")],
+    zone: Annotated[list[str], typer.Option(help="A zone as <network>=<name>: 127.0.1=a.")],
+) -> None:
+    """Relay connections between zones by rules that are set over HTTP."""
+    pairs = (item.partition("=") for item in zone)
+    zones_by_network = {network: name for network, _, name in pairs}
+    asyncio.run(serve(zones_by_network, Address.parse(control)))
--- /dev/null
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_zone_relay.py
@@ -0,0 +1,88 @@
+"""Guards against partitions that cut other zones than the rules say, or none."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from pollenglade_emulator.ports import PortPool
+from pollenglade_emulator.relay import Mode
+from pollenglade_emulator.zone_network import rules_between
+from pollenglade_emulator.zone_relay import RouteDocument
+from pollenglade_emulator.zone_relay import Rule
+from pollenglade_emulator.zone_relay import ZoneRelay
+
+from .test_relay import echo
+
+ZONES = ("a", "b", "c")
+QUIET_S = 0.1
+LIMIT_S = 10.0
+
+
+class ZoneRelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.relay = ZoneRelay({f"127.0.{1 + ZONES.index(zone)}": zone for zone in ZONES})
+        upstream = await asyncio.start_server(echo, "127.0.0.1", 0)
+        self.addCleanup(upstream.close)
+        ports = PortPool()
+        self.port_by_zone = {zone: ports.take() for zone in ZONES}
+        for zone, port in self.port_by_zone.items():
+            address = f"127.0.0.1:{upstream.sockets[0].getsockname()[1]}"
+            listen = f"127.0.0.1:{port}"
+            await self.relay.add(RouteDocument(zone=zone, upstream=address, listen=listen))
+
+    async def asyncTearDown(self) -> None:
+        await self.relay.close()
+
+    async def connect(
+        self, source: str, destination: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection from a zone to a zone."""
+        local = (f"127.0.{1 + ZONES.index(source)}.1", 0)
+        port = self.port_by_zone[destination]
+        opened = await asyncio.open_connection("127.0.0.1", port, local_addr=local)
+        self.addCleanup(opened[1].close)
+        return opened
+
+    async def echoes(
+        self, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], wait_s: float
+    ) -> bool:
+        """Return whether a byte comes back; an echo of an earlier byte counts too."""
+        reader, writer = connection
+        with contextlib.suppress(TimeoutError, OSError):
+            writer.write(b"x")
+            return await asyncio.wait_for(reader.read(1), wait_s) == b"x"
+        return False
+
+    async def test_rules_hold_for_open_and_new_connections_of_their_zones_only(self) -> None:
+        """A relay that knows no source zone cuts a zone off from itself."""
+        pairs = [(source, to) for source in ZONES for to in ZONES]
+        for mode in (Mode.SILENT, Mode.CUT):
+            with self.subTest(mode):
+                self.relay.apply(())
+                open_before = {pair: await self.connect(*pair) for pair in pairs}
+                for connection in open_before.values():
+                    self.assertTrue(await self.echoes(connection, LIMIT_S))
+                rules = rules_between(["a"], ["b", "c"], mode)
+                cut = {(rule.source, rule.destination) for rule in rules}
+                self.assertEqual({("a", "b"), ("a", "c"), ("b", "a"), ("c", "a")}, cut)
+                self.relay.apply(tuple(rules))
+                for pair in pairs:
+                    for connection in (open_before[pair], await self.connect(*pair)):
+                        works = pair not in cut
+                        wait_s = LIMIT_S if works else QUIET_S
+                        self.assertEqual(works, await self.echoes(connection, wait_s), pair)
+                self.relay.apply(())
+                if mode is Mode.SILENT:
+                    for pair in pairs:
+                        self.assertTrue(await self.echoes(open_before[pair], LIMIT_S), pair)
+
+    async def test_delay_holds_both_ways_between_its_zones(self) -> None:
+        """Zones without distance would hide the cost of leaving the own zone."""
+        self.relay.apply((Rule(source="a", destination="b", delay_s=0.1),))
+        loop = asyncio.get_running_loop()
+        connection = await self.connect("a", "b")
+        started_s = loop.time()
+        self.assertTrue(await self.echoes(connection, LIMIT_S))
+        self.assertGreaterEqual(loop.time() - started_s, 0.2)
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -210,9 +210,15 @@
 
 
 class ConnectionPool:
-    """Open connections by address; the most recently used one is taken first."""
+    """Open connections by address; the most recently used one is taken first.
 
-    def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+    Connections come from `source_host` where it is set.
+    """
+
+    def __init__(
+        self, max_idle: int = MAX_IDLE_CONNECTIONS, source_host: str | None = None
+    ) -> None:
+        self._local_address = (source_host, 0) if source_host else None
         self._idle_by_address: dict[Address, deque[ClientConnection]] = {}
         self._max_idle = max_idle
         self._open: set[ClientConnection] = set()
@@ -236,7 +242,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self, address), address.host, address.port
+                    lambda: ClientConnection(self, address),
+                    address.host,
+                    address.port,
+                    local_addr=self._local_address,
                 )
         except TimeoutError:
             return HttpFailure(FailureReason.CONNECT, False, f"{address}: connect timed out")
--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -67,9 +67,10 @@
 class Links:
     """Opens links on demand and carries calls and questions; owner of every link."""
 
-    def __init__(self, hello: Hello, serving: Serving) -> None:
+    def __init__(self, hello: Hello, serving: Serving, source_host: str | None = None) -> None:
         self._hello = hello
         self._serving = serving
+        self._local_address = (source_host, 0) if source_host else None
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
         self._link_by_node: dict[str, Link] = {}
@@ -171,7 +172,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
-                    lambda: Link(self), peer.address.host, peer.address.port
+                    lambda: Link(self),
+                    peer.address.host,
+                    peer.address.port,
+                    local_addr=self._local_address,
                 )
                 await link.ready
         except (OSError, TimeoutError):
--- a/packages/pollenglade-node/src/pollenglade_node/main.py
+++ b/packages/pollenglade-node/src/pollenglade_node/main.py
@@ -24,7 +24,8 @@
 
 def _help(name: str) -> str:
     field = NodeSettings.model_fields[name]
-    default = "" if field.is_required() else f" Default: {field.default}."
+    # A setting without a value has its default in the description or in another setting.
+    default = "" if field.is_required() or field.default is None else f" Default: {field.default}."
     return f"{field.description}{default} Environment: POLLENGLADE_{name.upper()}."
 
 
@@ -35,6 +36,13 @@
     caller_address: Annotated[str | None, typer.Option(help=_help("caller_address"))] = None,
     link_address: Annotated[str | None, typer.Option(help=_help("link_address"))] = None,
     control_address: Annotated[str | None, typer.Option(help=_help("control_address"))] = None,
+    advertised_link_address: Annotated[
+        str | None, typer.Option(help=_help("advertised_link_address"))
+    ] = None,
+    advertised_control_address: Annotated[
+        str | None, typer.Option(help=_help("advertised_control_address"))
+    ] = None,
+    source_host: Annotated[str | None, typer.Option(help=_help("source_host"))] = None,
     platform_url: Annotated[str | None, typer.Option(help=_help("platform_url"))] = None,
     concurrency_limit: Annotated[str | None, typer.Option(help=_help("concurrency_limit"))] = None,
     drain_limit_s: Annotated[float | None, typer.Option(help=_help("drain_limit_s"))] = None,
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -67,6 +67,19 @@
 log = structlog.get_logger()
 
 
+def _own_member(settings: NodeSettings, incarnation: int) -> Member:
+    link_address = settings.advertised_link_address or settings.link_address
+    return Member(
+        settings.node,
+        incarnation,
+        settings.zone,
+        settings.region,
+        Address.parse(link_address).host,
+        link_address,
+        settings.advertised_control_address or settings.control_address,
+    )
+
+
 class Node:
     """One pollenglade node; `start`, then `stop_gracefully`, then `close`."""
 
@@ -82,9 +95,14 @@
         fast = random.Random(secure.getrandbits(64))
         self._random = fast
         self._pool = ConnectionPool(max_idle=512)
-        self._http = HttpClient()
+        self._http = HttpClient(ConnectionPool(source_host=settings.source_host))
         platform = Address.parse(settings.platform_url.removeprefix("http://"))
-        self._platform = PlatformClient(platform, settings.zone, fast)
+        self._platform = PlatformClient(
+            platform,
+            settings.zone,
+            fast,
+            client=HttpClient(ConnectionPool(source_host=settings.source_host)),
+        )
         self.ledger = CrashLedger()
         self.serving = Serving(
             f"{settings.node}/{incarnation:x}",
@@ -95,17 +113,8 @@
             self.ledger,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
-        self.links = Links(hello, self.serving)
-        own = Member(
-            settings.node,
-            incarnation,
-            settings.zone,
-            settings.region,
-            Address.parse(settings.link_address).host,
-            settings.link_address,
-            settings.control_address,
-        )
-        self.gossip = Gossip(own, self._http, fast)
+        self.links = Links(hello, self.serving, settings.source_host)
+        self.gossip = Gossip(_own_member(settings, incarnation), self._http, fast)
         self.fleet = Fleet(self.gossip)
         self.presence = Presence(self._platform, lambda: self.fleet.own, fast)
         self.quota = QuotaService(
--- a/packages/pollenglade-node/src/pollenglade_node/settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 from collections.abc import Mapping
 from typing import Annotated
@@ -33,9 +34,14 @@
     return text.rstrip("/")
 
 
+def _checked_host(text: str) -> str:
+    return str(ipaddress.ip_address(text))
+
+
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 AddressText = Annotated[str, AfterValidator(_checked_address)]
 UrlText = Annotated[str, AfterValidator(_checked_url)]
+HostText = Annotated[str, AfterValidator(_checked_host)]
 
 
 class NodeSettings(BaseSettings):
@@ -51,6 +57,18 @@
     control_address: AddressText = Field(
         description="host:port for target announcements, gossip, health and metrics."
     )
+    advertised_link_address: AddressText | None = Field(
+        default=None,
+        description="host:port at which other nodes reach the link port; the bound one if not set.",
+    )
+    advertised_control_address: AddressText | None = Field(
+        default=None,
+        description="host:port at which other nodes reach the control port; the bound one if not "
+        "set.",
+    )
+    source_host: HostText | None = Field(
+        default=None, description="IP address that connections to nodes and the platform come from."
+    )
     platform_url: UrlText = Field(description="http://host:port of the platform.")
     concurrency_limit: Annotated[str, Field(pattern=r"^(gradient|none|fixed)$")] = Field(
         default="gradient", description="Concurrency limit for each target."
