Add the scenarios zone-cut and regions-apart

Ruled out: to run every scenario behind the relay, which adds its own latency to scenarios that need none. Change: `Scenario.partition` cuts the last zone off from the others and from the platform, or two groups of zones from each other while both reach the platform; connections go silent and stay open. all-at-once includes the zone cut. Fleets of such scenarios start behind the zone relay with the distance of the deployment between zones.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/bench_run.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/bench_run.py
@@ -22,6 +22,7 @@
 from .measures import time_to_recover_s
 from .processes import NODE_MODULE
 from .processes import Processes
+from .scenario import Partition
 from .scenario import Scenario
 from .scenario import Timing
 from .target import POISON_EXIT_CODE
@@ -72,7 +73,11 @@
     with TemporaryDirectory() as folder:
         async with Processes(settings.node_module) as processes:
             fleet = await start_fleet(
-                processes, [settings.deployment], Path(folder), BASELINES[baseline]
+                processes,
+                [settings.deployment],
+                Path(folder),
+                BASELINES[baseline],
+                separable=scenario.partition is not Partition.NONE,
             )
             faults = Faults(fleet, settings.deployment, scenario)
             load = _load(settings, scenario, fleet)
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/faults.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/faults.py
@@ -13,6 +13,7 @@
 from .fleet import Member
 from .processes import ProcessError
 from .scenario import SLOW_FACTOR
+from .scenario import Partition
 from .scenario import Scenario
 from .scenario import Timing
 from .scenario import slow_service
@@ -65,6 +66,7 @@
             self._active = active
             for member in self._fleet.members_of(self._service):
                 await self._slow_down(member)
+        await self._separate(active)
         if self._scenario.platform_down:
             body = orjson.dumps({"down": active})
             response = await self._client.request(
@@ -73,6 +75,19 @@
             if isinstance(response, HttpFailure) or response.status != 200:
                 raise RuntimeError(f"the platform stand-in did not accept the fault: {response}")
 
+    async def _separate(self, active: bool) -> None:
+        """Cut the zones of the scenario off from each other, or join them again."""
+        network, zones = self._fleet.network, self._deployment.zones
+        if network is None or self._scenario.partition is Partition.NONE:
+            return
+        if not active:
+            await network.heal()
+        elif self._scenario.partition is Partition.ZONE:
+            await network.isolate(zones[-1])
+        else:
+            half = len(zones) // 2
+            await network.split([zones[:half], zones[half:]])
+
     async def _slow_down(self, member: Member) -> None:
         """Give a target the service time of the present phase, unless it has crashed."""
         if not self._scenario.slow or member.place.service != self._service:
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
@@ -24,6 +24,7 @@
 from .records import Execution
 from .run_log import read_log
 from .workload import Deployment
+from .zone_network import ZoneNetwork
 
 STARTS_AT_ONCE = 2
 """Processes that start together; each one imports its modules on a core of its own."""
@@ -62,13 +63,17 @@
 
 @dataclass
 class Fleet:
-    """All processes of one or more deployments that share a platform."""
+    """All processes of one or more deployments that share a platform.
+
+    `network` stands between the zones; without it they cannot be cut off from each other.
+    """
 
     processes: Processes
     platform: Address
     log_folder: Path
     members: list[Member] = field(default_factory=list)
     keys_by_deployment: dict[str, dict[str, str]] = field(default_factory=dict)
+    network: ZoneNetwork | None = None
     _started: int = 0
 
     def entries(self, zone: str | None = None) -> list[Address]:
@@ -79,6 +84,14 @@
         """Return the members that serve a service."""
         return [member for member in self.members if member.target.service == service]
 
+    async def start_node(
+        self, name: str, zone: str, settings: Mapping[str, str] | None = None
+    ) -> NodeProcess:
+        """Start a node, behind the network where there is one."""
+        if self.network is not None:
+            return await self.network.start_node(name, zone, settings)
+        return await self.processes.start_node(name, zone, self.platform, settings=settings)
+
     async def change_target(self, target: TargetProcess, conduct: Mapping[str, object]) -> None:
         """Tell a target how to behave; raise RuntimeError where it does not accept that."""
         client = HttpClient()
@@ -114,18 +127,23 @@
     log_folder: Path,
     node_settings: Mapping[str, str] | None = None,
     publisher: Publisher = publish,
+    separable: bool = False,
 ) -> Fleet:
-    """Start platform, nodes and targets, publish profiles and keys, wait until nodes serve."""
+    """Start platform, nodes and targets, publish profiles and keys, wait until nodes serve.
+
+    With `separable` the zones of the first deployment can be cut off from each other.
+    """
     fleet = Fleet(processes, await processes.start_platform(), log_folder)
+    if separable:
+        zones, distance_s = deployments[0].zones, deployments[0].zone_distance_s
+        fleet.network = await ZoneNetwork.start(processes, zones, fleet.platform, distance_s)
     for deployment in deployments:
         fleet.keys_by_deployment[deployment.name] = await publisher(fleet.platform, deployment)
     gate = asyncio.Semaphore(STARTS_AT_ONCE)
 
     async def start(place: Place) -> Member:
         async with gate:
-            node = await processes.start_node(
-                f"node-{place.name}", place.zone, fleet.platform, settings=node_settings
-            )
+            node = await fleet.start_node(f"node-{place.name}", place.zone, node_settings)
             target = await fleet.start_target(place, node)
             return Member(place, node, await processes.wait_target(target))
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/scenario.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/scenario.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from enum import StrEnum
 
 from .arrivals import Surge
 from .arrivals import noisy_neighbour
@@ -61,12 +62,25 @@
     return (*surge_of_all(3.0)(deployment, timing), *surge_of_one(deployment, timing))
 
 
+class Partition(StrEnum):
+    """Which zones are cut off; connections go silent and stay open.
+
+    `zone` isolates the last zone from the others and from the platform. `regions` separates two
+    groups of zones, which both reach the platform.
+    """
+
+    NONE = "none"
+    ZONE = "zone"
+    REGIONS = "regions"
+
+
 @dataclass(frozen=True)
 class Scenario:
     """One scenario; the faults hold during the cause.
 
     `slow` makes the most used service slower, `platform_down` stops the platform from answering,
-    `poison` lets one caller resend a call that ends each target that runs it.
+    `poison` lets one caller resend a call that ends each target that runs it, `partition`
+    cuts zones off.
     """
 
     name: str
@@ -75,6 +89,7 @@
     slow: bool = False
     platform_down: bool = False
     poison: bool = False
+    partition: Partition = Partition.NONE
 
 
 SCENARIOS_BY_NAME = {
@@ -88,6 +103,8 @@
         Scenario("hard-retries", slow=True, retries=RetryStyle.HARD),
         Scenario("platform-outage", platform_down=True),
         Scenario("crash-loop", poison=True),
+        Scenario("zone-cut", partition=Partition.ZONE),
+        Scenario("regions-apart", partition=Partition.REGIONS),
         Scenario(
             "all-at-once",
             surge_of_all_and_one,
@@ -95,6 +112,7 @@
             slow=True,
             platform_down=True,
             poison=True,
+            partition=Partition.ZONE,
         ),
     )
 }
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
@@ -34,7 +34,6 @@
     def __init__(self, processes: Processes, zones: Sequence[str], control: Address) -> None:
         self._processes = processes
         self._control = control
-        self._client = HttpClient()
         self._network_by_zone = {zone: f"127.0.{1 + index}" for index, zone in enumerate(zones)}
         self._addresses_by_node: dict[str, NodeAddresses] = {}
         self._settings_by_node: dict[str, dict[str, str]] = {}
@@ -61,10 +60,6 @@
         await network.heal()
         return network
 
-    async def close(self) -> None:
-        """Close the connection to the relay process, which `Processes` ends."""
-        await self._client.close()
-
     async def start_node(
         self, name: str, zone: str, settings: Mapping[str, str] | None = None
     ) -> NodeProcess:
@@ -125,9 +120,13 @@
         await self._send("PUT", "/rules", {"rules": document})
 
     async def _send(self, method: str, target: str, document: object) -> None:
-        response = await self._client.request(
-            self._control, method, target, None, orjson.dumps(document)
-        )
+        client = HttpClient()
+        try:
+            response = await client.request(
+                self._control, method, target, None, orjson.dumps(document)
+            )
+        finally:
+            await client.close()
         if isinstance(response, HttpFailure) or response.status != 200:
             raise RuntimeError(f"the zone relay did not accept {document}: {response}")
 
--- a/tests/test_system/test_bench.py
+++ b/tests/test_system/test_bench.py
@@ -15,6 +15,7 @@
 from pollenglade_emulator.deployments import SALAIRES
 from pollenglade_emulator.plot import plot_goodput
 from pollenglade_emulator.scenario import SCENARIOS_BY_NAME
+from pollenglade_emulator.scenario import Partition
 from pollenglade_emulator.scenario import Timing
 
 PLAIN_NODE = "support.plain_node"
@@ -60,3 +61,4 @@
             for flag in ("slow", "platform_down", "poison"):
                 self.assertLessEqual(getattr(scenario, flag), getattr(combined, flag), flag)
         self.assertEqual(2, len(combined.surges(deployment, timing)))
+        self.assertIs(Partition.ZONE, combined.partition)
