--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -9,6 +9,7 @@
 from . import cutting_proxy
 from . import demo
 from . import target_standin
+from . import zone_relay
 from .control_cost import control_cost
 from .hop_cost import hop_cost
 from .link_comparison import link_comparison
@@ -28,6 +29,7 @@
 app.command()(control_cost)
 app.add_typer(target_standin.app)
 app.add_typer(cutting_proxy.app)
+app.add_typer(zone_relay.app)
 app.add_typer(caller.app)
 app.add_typer(demo.app)
 app.add_typer(bench.app)
