--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
@@ -106,7 +106,12 @@
         first, second = groups
         await self.apply(rules_between(first, second, mode))
 
-    async def apply(self, rules: Iterable[Rule]) -> None:
+    async def silence_open(self, source: str, destination: str) -> None:
+        """Silence the connections between two zones that are open now; new ones work."""
+        rules = rules_between([source], [destination], Mode.SILENT)
+        await self.apply(rules, only_open=True)
+
+    async def apply(self, rules: Iterable[Rule], only_open: bool = False) -> None:
         """Set the rules, with the distance for the pairs of zones that they do not name."""
         given = {(rule.source, rule.destination): rule for rule in rules}
         zones = self._network_by_zone
@@ -117,7 +122,7 @@
             if source != destination and (source, destination) not in given
         ]
         document = [rule.model_dump(mode="json") for rule in [*given.values(), *distances]]
-        await self._send("PUT", "/rules", {"rules": document})
+        await self._send("PUT", "/rules", {"rules": document, "only_open": only_open})
 
     async def _send(self, method: str, target: str, document: object) -> None:
         client = HttpClient()
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_relay.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_relay.py
@@ -39,11 +39,16 @@
 
 
 class RulesDocument(BaseModel):
-    """Body of `PUT /rules`, which replaces all rules; pairs without a rule pass."""
+    """Body of `PUT /rules`, which replaces all rules; pairs without a rule pass.
+
+    With `only_open` the rules hold for the connections that are open now, and later connections
+    keep the former rules.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
     rules: tuple[Rule, ...]
+    only_open: bool = False
 
 
 class RouteDocument(BaseModel):
@@ -78,7 +83,8 @@
         """Answer a request on the control port."""
         try:
             if (request.method, request.target) == ("PUT", b"/rules"):
-                self.apply(RulesDocument.model_validate_json(request.body).rules)
+                document = RulesDocument.model_validate_json(request.body)
+                self.apply(document.rules, document.only_open)
             elif (request.method, request.target) == ("POST", b"/routes"):
                 await self.add(RouteDocument.model_validate_json(request.body))
             elif request.method != "GET":
@@ -87,13 +93,16 @@
             return json_response(400, {"detail": str(error)})
         return json_response(200, {"open": sum(relay.open_connections for relay in self._relays)})
 
-    def apply(self, rules: tuple[Rule, ...]) -> None:
-        """Replace all rules, also for connections that are open."""
+    def apply(self, rules: tuple[Rule, ...], only_open: bool = False) -> None:
+        """Replace all rules, also for connections that are open, or for those alone."""
+        former = self._conducts
         self._conducts = {
             (rule.source, rule.destination): Conduct(rule.mode, rule.delay_s) for rule in rules
         }
         for relay in self._relays:
             relay.refresh()
+        if only_open:
+            self._conducts = former
 
     async def add(self, route: RouteDocument) -> None:
         """Listen in front of one upstream address."""
