Keep keys of other calls and keys in header names from targets

Cause: the search for a secret covered only the key in Authorization, and h11 delivers header names in lower case, so a published key of another call, or any key in a header name, was forwarded. A nested call was not searched. Ruled out: the hop-by-hop filter and the trailers; those places leaked nothing. Change: a text with the form of a published key is refused in the target, headers and body of root and nested calls, and any key form in a header name. A foreign key inside base64 is still not found.

--- a/packages/pollenglade-core/src/pollenglade_core/keys.py
+++ b/packages/pollenglade-core/src/pollenglade_core/keys.py
@@ -7,6 +7,7 @@
 import hashlib
 import hmac
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from functools import cached_property
@@ -24,6 +25,7 @@
 
 _KEY_ID = r"[A-Za-z0-9-]{1,64}"
 _KEY = re.compile(rf"{KEY_PREFIX}({_KEY_ID})_([A-Za-z0-9_-]{{{SECRET_LENGTH}}})")
+_KEY_IN_DATA = re.compile(_KEY.pattern.encode())
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,19 @@
     return same_secret and record.id == key.id
 
 
+def keys_in(data: bytes) -> Iterator[ParsedKey]:
+    """Yield every text in data that has the form of a key, plain or percent-encoded.
+
+    It finds keys that the call was not made with, whose secrets the node does not know.
+    """
+    for layer in range(DECODE_ROUNDS + 1):
+        for match in _KEY_IN_DATA.finditer(data):
+            yield ParsedKey(match[1].decode(), match[2].decode())
+        if layer == DECODE_ROUNDS or b"%" not in data:
+            return
+        data = _percent_decoded(data)
+
+
 def find_secret(secret: str, data: bytes) -> bool:
     """Return whether data holds the secret: plain, percent-encoded or inside base64 text.
 
--- a/packages/pollenglade-node/src/pollenglade_node/authentication.py
+++ b/packages/pollenglade-node/src/pollenglade_node/authentication.py
@@ -10,6 +10,7 @@
 from pollenglade_core.keys import KeyRecord
 from pollenglade_core.keys import ParsedKey
 from pollenglade_core.keys import SecretScanner
+from pollenglade_core.keys import keys_in
 from pollenglade_core.keys import matches
 from pollenglade_core.keys import parse_key
 from pollenglade_core.outcome import Reason
@@ -22,6 +23,11 @@
 
 MAX_CACHED_KEYS = 4_096
 
+KEY_EXPOSED = Refusal(
+    Reason.KEY_EXPOSED,
+    detail="a key is also in another header, the path, the query or the body; remove it",
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Identity:
@@ -35,6 +41,15 @@
 class _CachedKey:
     record: KeyRecord
     scanner: SecretScanner
+    name_scanner: SecretScanner
+
+    def exposes(self, request: HttpRequest) -> bool:
+        """Return whether the secret is in a part of the request that a target would receive."""
+        # Header names arrive in lower case, and a secret in lower case is still most of a secret.
+        names = b"\n".join(name for name, _ in request.headers)
+        return self.name_scanner.holds(names) or any(
+            self.scanner.holds(part) for part in _forwarded_parts(request)
+        )
 
 
 class Authenticator:
@@ -60,10 +75,8 @@
         cached = self._cached(values[0], configuration)
         if isinstance(cached, Refusal):
             return cached
-        if self._is_exposed(request, cached.scanner):
-            detail = "the key is also in another header, the path, the query or the body; remove it"
-            return Refusal(Reason.KEY_EXPOSED, detail=detail)
-        return Identity(cached.record.organisation, cached.record.id)
+        exposed = cached.exposes(request) or holds_published_key(request, configuration)
+        return KEY_EXPOSED if exposed else Identity(cached.record.organisation, cached.record.id)
 
     def _cached(self, value: bytes, configuration: Configuration) -> _CachedKey | Refusal:
         digest = hashlib.sha256(value).digest()
@@ -75,21 +88,35 @@
             self._cached_by_digest.pop(digest, None)
             return verified
         record, key = verified
-        cached = _CachedKey(record, SecretScanner(key.secret))
+        cached = _CachedKey(record, SecretScanner(key.secret), SecretScanner(key.secret.lower()))
         self._cached_by_digest[digest] = cached
         if len(self._cached_by_digest) > MAX_CACHED_KEYS:
             self._cached_by_digest.popitem(last=False)
         return cached
 
-    @staticmethod
-    def _is_exposed(request: HttpRequest, scanner: SecretScanner) -> bool:
-        fields = [request.target]
-        for name, value in request.headers:
-            if name != AUTHORIZATION:
-                fields += (name, value)
-        return scanner.holds(b"\n".join(fields)) or (
-            bool(request.body) and scanner.holds(request.body)
-        )
+
+def holds_published_key(request: HttpRequest, configuration: Configuration) -> bool:
+    """Return whether any published key is in a part of the request that a target would receive.
+
+    A header name arrives in lower case and cannot be compared with a record, so the form decides.
+    """
+    if any(True for name, _ in request.headers for _ in keys_in(name)):
+        return True
+    for part in _forwarded_parts(request):
+        for key in keys_in(part):
+            record = configuration.keys_by_id.get(key.id)
+            if record is not None and matches(record, key):
+                return True
+    return False
+
+
+def _forwarded_parts(request: HttpRequest) -> list[bytes]:
+    fields = [request.target]
+    for name, value in request.headers:
+        if name != AUTHORIZATION:
+            fields += (name, value)
+    head = b"\n".join(fields)
+    return [head, request.body] if request.body else [head]
 
 
 def _verify(value: bytes, configuration: Configuration) -> tuple[KeyRecord, ParsedKey] | Refusal:
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry.py
@@ -30,7 +30,9 @@
 
 from .authentication import AUTHORIZATION
 from .authentication import CALL_HANDLE
+from .authentication import KEY_EXPOSED
 from .authentication import Authenticator
+from .authentication import holds_published_key
 from .call_counter import CallCounter
 from .entry_call import EntryCall
 from .refusal_response import respond_refusal
@@ -232,6 +234,9 @@
             detail = "send either a key or one call handle"
             self._refuse(exchange, Refusal(Reason.BAD_REQUEST, detail=detail))
             return
+        if holds_published_key(request, self.configuration):
+            self._refuse(exchange, KEY_EXPOSED)
+            return
         handle = handles[0].decode("ascii", "replace")
         parent = self.serving.calls_by_handle.get(handle)
         resolved = self.serving.handles.resolve(handle, monotonic())
