--- /dev/null
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -0,0 +1,334 @@
+"""Guards against responses that reach another call, and against malformed link messages."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from time import monotonic
+
+import msgpack
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.importance import Importance
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.retry import RetryAllowance
+from pollenglade_net.attempt import Attempt
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.link import PONG_TIMEOUT_S
+from pollenglade_net.link import SILENCE_S
+from pollenglade_net.link import Link
+from pollenglade_net.link_message import HIGHEST_VERSION
+from pollenglade_net.link_message import MAX_MESSAGE_BYTES
+from pollenglade_net.link_message import READ_AHEAD_BYTES
+from pollenglade_net.link_message import Feedback
+from pollenglade_net.link_message import Hello
+from pollenglade_net.link_message import Kind
+from pollenglade_net.link_message import pack
+
+WAIT_S = 5.0
+
+
+class Sink:
+    """Collects the result of one call."""
+
+    def __init__(self) -> None:
+        self.result: asyncio.Future[bytes | Refusal] = asyncio.get_running_loop().create_future()
+        self._parts: list[bytes] = []
+        self.events = 0
+
+    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
+        self._finish(body)
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        self.events += 1
+
+    def on_data(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def on_end(self, feedback: Feedback) -> None:
+        self._finish(b"".join(self._parts))
+
+    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
+        self._finish(refusal)
+
+    def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
+        self._finish(refusal)
+
+    def _finish(self, result: bytes | Refusal) -> None:
+        self.events += 1
+        self.result.set_result(result)
+
+
+@dataclass
+class RunningCall:
+    """A call at the serving end."""
+
+    body: bytes
+    sink: AttemptSink
+    cancelled: bool = False
+    credited: int = 0
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+    def credit(self, count: int) -> None:
+        self.credited += count
+
+
+@dataclass
+class End:
+    """Owner of one end; keeps the calls that arrive."""
+
+    name: str
+    lowest: int = HIGHEST_VERSION
+    highest: int = HIGHEST_VERSION
+    calls: list[RunningCall] = field(default_factory=list)
+    links: list[Link] = field(default_factory=list)
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+    arrived: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def hello(self) -> Hello:
+        return Hello(self.name, 1, "zone-a", self.lowest, self.highest)
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
+        call = RunningCall(request.body, sink)
+        self.calls.append(call)
+        self.arrived.set()
+        return call
+
+    def ask(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
+        answer([topic, payload])
+
+    def on_link_open(self, link: Link) -> None:
+        self.links.append(link)
+
+    def on_link_drain(self, link: Link) -> None:
+        self.arrived.set()
+
+    def on_link_closed(self, link: Link) -> None:
+        self.closed.set()
+
+
+def context(number: int) -> CallContext:
+    """Return the context of a call."""
+    return CallContext(
+        f"c{number}", "acme", "p", "fees", Importance.NORMAL, monotonic() + 9.0, RetryAllowance(1)
+    )
+
+
+def request(body: bytes) -> HttpRequest:
+    """Return a request with a body."""
+    return HttpRequest("POST", b"/x", [(b"accept", b"*/*")], body)
+
+
+class Pair:
+    """Two ends over a loopback connection, or one end and a raw connection."""
+
+    def __init__(self) -> None:
+        self.client = End("client")
+        self.server = End("server")
+
+    async def listen(self) -> int:
+        """Start the serving end and return its port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Link(self.server), "127.0.0.1", 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def connect(self) -> Link:
+        """Connect the calling end and wait for the handshake."""
+        port = await self.listen()
+        loop = asyncio.get_running_loop()
+        _, link = await loop.create_connection(lambda: Link(self.client), "127.0.0.1", port)
+        async with asyncio.timeout(WAIT_S):
+            await link.ready
+        return link
+
+    async def wait_calls(self, count: int) -> None:
+        """Wait until calls have arrived at the serving end."""
+        async with asyncio.timeout(WAIT_S):
+            while len(self.server.calls) < count:
+                self.server.arrived.clear()
+                await self.server.arrived.wait()
+
+    async def close(self) -> None:
+        """Close both ends."""
+        for link in [*self.client.links, *self.server.links]:
+            link.close("the test is over")
+        self._server.close()
+        await asyncio.sleep(0)
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.pair = Pair()
+
+    async def asyncTearDown(self) -> None:
+        await self.pair.close()
+
+    async def test_late_and_reordered_responses_reach_their_calls(self) -> None:
+        """A response that is matched by order instead of by stream goes to the wrong caller."""
+        link = await self.pair.connect()
+        sinks = [Sink() for _ in range(50)]
+        for number, sink in enumerate(sinks):
+            link.call(context(number), request(b"%d" % number), sink)
+        await self.pair.wait_calls(50)
+        for call in reversed(self.pair.server.calls):
+            call.sink.on_response(200, [], b"to-" + call.body, Feedback())
+        for number, sink in enumerate(sinks):
+            async with asyncio.timeout(WAIT_S):
+                self.assertEqual(b"to-%d" % number, await sink.result)
+
+    async def test_cancelled_call_gets_nothing_more(self) -> None:
+        """A response that crosses a cancel must not reach a caller that has gone."""
+        link = await self.pair.connect()
+        gone, kept = Sink(), Sink()
+        attempt = link.call(context(1), request(b"gone"), gone)
+        link.call(context(2), request(b"kept"), kept)
+        await self.pair.wait_calls(2)
+        attempt.cancel()
+        first, second = self.pair.server.calls
+        first.sink.on_response(200, [], b"late", Feedback())
+        second.sink.on_response(200, [], b"kept", Feedback())
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(b"kept", await kept.result)
+        self.assertEqual(0, gone.events)
+
+    async def test_cancel_reaches_the_serving_end(self) -> None:
+        """Work for a caller that has gone must stop."""
+        link = await self.pair.connect()
+        attempt = link.call(context(1), request(b""), Sink())
+        await self.pair.wait_calls(1)
+        attempt.cancel()
+        sink = Sink()
+        link.call(context(2), request(b""), sink)
+        await self.pair.wait_calls(2)
+        self.assertTrue(self.pair.server.calls[0].cancelled)
+
+    async def test_streamed_body_breaks_off_as_failure(self) -> None:
+        """A body that ends with its link must not be taken for a whole response."""
+        link = await self.pair.connect()
+        sink = Sink()
+        link.call(context(1), request(b""), sink)
+        await self.pair.wait_calls(1)
+        call = self.pair.server.calls[0]
+        call.sink.on_head(200, [])
+        call.sink.on_data(b"half")
+        await asyncio.sleep(0)
+        self.pair.server.links[0].close("broken", abort=False)
+        async with asyncio.timeout(WAIT_S):
+            result = await sink.result
+        assert isinstance(result, Refusal)
+        self.assertIs(Outcome.UNKNOWN, result.outcome)
+
+    async def test_silent_link_ends_open_calls(self) -> None:
+        """A link whose peer no longer answers must not hold calls until their deadline."""
+        port = await self.pair.listen()
+        reader_hello = Hello("silent", 1, "zone-a").to_wire()
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(reader_hello)
+            await reader.read()
+
+        server = await asyncio.start_server(silent, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.assertGreater(port, 0)
+        loop = asyncio.get_running_loop()
+        silent_port = server.sockets[0].getsockname()[1]
+        _, link = await loop.create_connection(
+            lambda: Link(self.pair.client), "127.0.0.1", silent_port
+        )
+        async with asyncio.timeout(WAIT_S):
+            await link.ready
+        sink = Sink()
+        link.call(context(1), request(b""), sink)
+        now = monotonic()
+        link.check(now + SILENCE_S + 0.01)
+        link.check(now + SILENCE_S + PONG_TIMEOUT_S + 0.1)
+        result = await sink.result
+        assert isinstance(result, Refusal)
+        self.assertIs(Outcome.UNKNOWN, result.outcome)
+
+    async def test_unknown_kinds_and_elements_are_ignored(self) -> None:
+        """During a rolling replacement a newer peer may send more than this release knows."""
+        link = await self.pair.connect()
+        link.send(pack([99, 1, "new"]))
+        link.send(pack([Kind.PING, 1, "more"]))
+        sink = Sink()
+        link.call(context(1), request(b"x"), sink)
+        await self.pair.wait_calls(1)
+        self.pair.server.calls[0].sink.on_response(200, [], b"ok", Feedback())
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(b"ok", await sink.result)
+
+    async def test_versions_without_overlap_close_the_link(self) -> None:
+        """Two releases that cannot understand each other must not exchange calls."""
+        self.pair.client.lowest = self.pair.client.highest = HIGHEST_VERSION + 1
+        with self.assertRaises(ConnectionError):
+            await self.pair.connect()
+        async with asyncio.timeout(WAIT_S):
+            await self.pair.server.closed.wait()
+
+
+async def send_bytes(data: bytes, hello_first: bool) -> bool:
+    """Send bytes to a link; return whether it still serves a new link afterwards."""
+    pair = Pair()
+    port = await pair.listen()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    if hello_first:
+        writer.write(Hello("raw", 1, "zone-a").to_wire())
+    try:
+        writer.write(data)
+        writer.write_eof()
+        async with asyncio.timeout(WAIT_S):
+            await reader.read()
+    except OSError:
+        # The link may close before it has read everything.
+        pass
+    writer.close()
+    loop = asyncio.get_running_loop()
+    _, link = await loop.create_connection(lambda: Link(pair.client), "127.0.0.1", port)
+    async with asyncio.timeout(WAIT_S):
+        await link.ready
+    works = link.is_open
+    await pair.close()
+    return works
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.binary() | st.text(),
+    lambda inner: st.lists(inner, max_size=8),
+    max_leaves=20,
+)
+
+
+class MalformedMessageTest(unittest.TestCase):
+    @given(st.binary(max_size=400), st.booleans())
+    @settings(max_examples=60)
+    def test_random_bytes_close_only_their_link(self, data: bytes, hello_first: bool) -> None:
+        """Malformed bytes must not disturb other links."""
+        self.assertTrue(asyncio.run(send_bytes(data, hello_first)))
+
+    @given(st.lists(st.lists(VALUES, max_size=10), max_size=4), st.integers(0, 200))
+    @settings(max_examples=60)
+    def test_random_messages_close_only_their_link(
+        self, messages: list[list[object]], cut: int
+    ) -> None:
+        """Well-formed msgpack with wrong fields, or cut off, must not disturb other links."""
+        data = b"".join(msgpack.packb(message) for message in messages)
+        self.assertTrue(asyncio.run(send_bytes(data[: len(data) - cut], True)))
+
+    def test_oversized_message_closes_the_link(self) -> None:
+        """A message without bound would fill the memory of the node."""
+        size = MAX_MESSAGE_BYTES + READ_AHEAD_BYTES + 1
+        data = msgpack.packb([Kind.REQUEST, 1, b"a" * size])
+        self.assertTrue(asyncio.run(send_bytes(data, True)))
