Tell crashes to nodes whose own target is down, and test faulty targets

Cause: a node whose target has crashed offers no service until the target has started again, and crash notices went only to nodes that offer it. A call that crashed the targets of a1 and a2 within 15 ms ran a third time at a1 as soon as its target was back, because a1 had never heard of the crash at a2. Ruled out: telling all nodes of the fleet, which opens 880 links; the entry's crash count, which a resend by the caller does not carry. Change: notices go to live nodes that offer the service or have offered it; a node that begins to offer a service asks three of them for their ledgers, which also covers restarted and new nodes. The pull itself has no test of its own.

--- a/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
@@ -9,10 +9,18 @@
 
 from pollenglade_core.quarantine import CrashLedger
 from pollenglade_core.quarantine import CrashNotice
+from pollenglade_core.randomness import RandomSource
 
 from .links import Links
 
 CRASH_TOPIC = "crash-notices"
+LEDGER_TOPIC = "crash-ledger"
+
+LEDGER_PEERS = 3
+"""Peers whose ledger a node asks for; one of them may have missed a notice as well."""
+
+MAX_LEDGER_NOTICES = 5_000
+"""Latest notices in an answer, about 100 bytes each; a link message holds 1 MiB."""
 
 
 class CrashNotices:
@@ -23,10 +31,29 @@
         ledger: CrashLedger,
         links: Links,
         nodes_of_service: Callable[[str], Sequence[str]],
+        source: RandomSource,
     ) -> None:
         self._ledger = ledger
         self._links = links
         self._nodes_of_service = nodes_of_service
+        self._source = source
+
+    def pull(self, service: str) -> None:
+        """Ask some nodes of a service for their ledgers.
+
+        A node that begins to offer a service may have missed the notices while it did not.
+        """
+        own = self._links.hello.node
+        nodes = [node for node in self._nodes_of_service(service) if node != own]
+        for node in self._source.sample(nodes, min(LEDGER_PEERS, len(nodes))):
+            self._links.ask_node(node, LEDGER_TOPIC, [], self._merge)
+
+    def _merge(self, answer: object) -> None:
+        self._ledger.merge(notices_from_wire(answer), monotonic())
+
+    def answer_ledger(self, payload: object, answer: Callable[[object], None]) -> None:
+        """Answer with all that is known about crashes."""
+        answer(notices_to_wire(self._ledger.notices(monotonic())[-MAX_LEDGER_NOTICES:]))
 
     async def notify(self, service: str, notices: list[CrashNotice]) -> None:
         """Send notices to every node of a service and return once all have answered."""
@@ -43,8 +70,7 @@
                 answered.set_result(answer)
 
         self._links.ask_node(node, CRASH_TOPIC, notices_to_wire(notices), on_answer)
-        answer = await answered
-        self._ledger.merge(notices_from_wire(answer), monotonic())
+        self._merge(await answered)
 
     def answer(self, payload: object, answer: Callable[[object], None]) -> None:
         """Merge the notices of another node and answer with those that clear some of them."""
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -26,6 +26,7 @@
     def __init__(self, gossip: Gossip) -> None:
         self._gossip = gossip
         self._draining_by_node: dict[str, int] = {}
+        self._nodes_by_service: dict[str, set[str]] = {}
 
     @property
     def own(self) -> Member:
@@ -49,13 +50,20 @@
         """Number of nodes that are believed to run."""
         return len(self._gossip.table.live())
 
+    def note_offers(self) -> None:
+        """Remember which nodes offer each service."""
+        for member in self._gossip.table.live():
+            for offer in member.offers:
+                self._nodes_by_service.setdefault(offer.service, set()).add(member.node)
+
     def nodes_of_service(self, service: str) -> Sequence[str]:
-        """Return the nodes that offer a service."""
-        return [
-            member.node
-            for member in self._gossip.table.live()
-            if any(offer.service == service for offer in member.offers)
-        ]
+        """Return the live nodes that offer a service or have offered it.
+
+        A node whose target has just crashed offers nothing until the target has started again, and
+        has to hear of further crashes meanwhile.
+        """
+        known = self._nodes_by_service.get(service, set())
+        return [member.node for member in self._gossip.table.live() if member.node in known]
 
     def is_process_alive(self, process: str) -> bool:
         """Return whether the process `<node>/<incarnation in hexadecimal>` may still run."""
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -39,6 +39,7 @@
 from .control import ControlApi
 from .control import add_target_route
 from .crash_notices import CRASH_TOPIC
+from .crash_notices import LEDGER_TOPIC
 from .crash_notices import CrashNotices
 from .entry import Entry
 from .fleet import Fleet
@@ -126,7 +127,9 @@
             self._platform,
             fast,
         )
-        self.crash_notices = CrashNotices(self.ledger, self.links, self.fleet.nodes_of_service)
+        self.crash_notices = CrashNotices(
+            self.ledger, self.links, self.fleet.nodes_of_service, fast
+        )
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
         self.claims = ClaimService(
@@ -163,6 +166,7 @@
         self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
         self.links.on_peer_drain = self._on_peer_drain
         self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
+        self.links.answer_by_topic[LEDGER_TOPIC] = self.crash_notices.answer_ledger
         self.serving.notify = self.crash_notices.notify
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
@@ -192,17 +196,20 @@
 
     def _on_targets(self) -> None:
         now = monotonic()
-        self.fleet.set_offers(
-            tuple(
-                ServiceOffer(target.service, target.slots)
-                for target in self.serving.targets_by_address.values()
-                if target.is_ready(now)
-            )
+        before = {offer.service for offer in self.fleet.own.offers}
+        offers = tuple(
+            ServiceOffer(target.service, target.slots)
+            for target in self.serving.targets_by_address.values()
+            if target.is_ready(now)
         )
+        for service in {offer.service for offer in offers} - before:
+            self.crash_notices.pull(service)
+        self.fleet.set_offers(offers)
         self.presence.announce_now()
         self._on_fleet()
 
     def _on_fleet(self) -> None:
+        self.fleet.note_offers()
         self.links.peers_by_node = self.fleet.peer_addresses()
         self.router.update(self.fleet.endpoints(), monotonic())
 
--- a/tests/support/zoned_fleet.py
+++ b/tests/support/zoned_fleet.py
@@ -87,6 +87,8 @@
 
         await asyncio.gather(*(start_host(name) for name in nodes))
         await fleet.wait_joined()
+        if targets:
+            await fleet.wait_granting()
         return fleet
 
     async def close(self) -> None:
@@ -127,6 +129,15 @@
         """Wait until each node knows `count` members, all if not given."""
         await self.wait_status("members", count or len(self.nodes), list(self.nodes), JOIN_S)
 
+    async def wait_granting(self) -> None:
+        """Wait until a call at each node gets quota and a target."""
+        end_s = asyncio.get_running_loop().time() + JOIN_S
+        for name in self.nodes:
+            while (found := outcome(await self.call(name))) != "200":
+                if asyncio.get_running_loop().time() >= end_s:
+                    raise AssertionError(f"{name} answers {found} after {JOIN_S} s")
+                await asyncio.sleep(POLL_S)
+
     async def wait_status(
         self, field: str, value: object, names: Sequence[str], limit_s: float
     ) -> None:
@@ -146,16 +157,17 @@
         self,
         name: str,
         path: str = "/job/1",
-        work_ms: int = 5,
+        work_ms: int | None = 5,
         timeout_s: float = DEADLINE_S + 1,
         client: HttpClient | None = None,
     ) -> HttpResponse | HttpFailure:
-        """Send one idempotent call to an entry node."""
+        """Send one idempotent call to an entry node; without `work_ms` the target decides."""
         headers = [
             (b"authorization", b"Bearer " + self.key.encode()),
             (REQUEST_HEADER, b"r-%d" % next(self._numbers)),
-            (WORK_HEADER, b"%d" % work_ms),
         ]
+        if work_ms is not None:
+            headers.append((WORK_HEADER, b"%d" % work_ms))
         return await (client or self._client).request(
             self.nodes[name].caller, "GET", f"/{SERVICE}{path}", headers, timeout_s=timeout_s
         )
