--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -124,9 +124,10 @@
         self._route = route
         self._attempt_started_at = now
         self._entry.router.on_start(route)
-        # One attempt stays here, because a lost response takes the lent share with it.
+        # One attempt stays here, because a lost response takes the lent share with it. The last one
+        # travels on, so that the node nearest to a failing target has it.
         allowance = self.context.allowance
-        self._lent = max(0, allowance.remaining - 1)
+        self._lent = allowance.remaining - 1 if allowance.remaining > 1 else allowance.remaining
         allowance.remaining -= self._lent
         attempt_context = self.context.with_allowance(RetryAllowance(self._lent))
         sent = self._entry.dispatcher.send(node, attempt_context, self.request, self)
