Tell unknown where an earlier attempt of a refused call may have run

Cause: a call whose first attempt broke off at its target was sent again, and the refusal of the second attempt (quarantined) was told to the caller as not-run although the first attempt had run. Ruled out: the quarantine itself, which is right to refuse the second attempt, and the run log, which has the start of the first. Change: a call with an attempt of unknown outcome ends as ran or unknown.

--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -79,6 +79,7 @@
         self._excluded: set[str] = set()
         self._collected: _Collected | None = None
         self._uncredited = 0
+        self._may_have_run = False
 
     def run(self) -> None:
         """Send the first attempt."""
@@ -232,6 +233,7 @@
         now = monotonic()
         self._entry.router.on_failure(route, now, now - self._attempt_started_at)
         self._excluded.add(route.node)
+        self._may_have_run = True
         repeatable = self.context.idempotent and refusal.reason is not Reason.TIMEOUT
         if refusal.reason is Reason.TARGET_FAILED:
             repeatable = repeatable and self.context.crash_count == 0
@@ -273,6 +275,9 @@
         """Answer at once with a refusal."""
         if not self.is_open:
             return
+        if self._may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            # The refusal is about the last attempt; an earlier one had reached a target.
+            refusal = replace(refusal, outcome=Outcome.UNKNOWN)
         if self.on_result is not None:
             callback, self.on_result = self.on_result, None
             callback(0, [], b"", refusal)
--- /dev/null
+++ b/tests/test_system/test_true_refusals.py
@@ -0,0 +1,156 @@
+"""Guards against `not-run` for a call that a target has run."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+
+import orjson
+from support.system import REQUEST
+from support.system import WORK
+from support.system import System
+from support.system import outcome_of
+from support.system import reason_of
+from support.system import started
+
+from pollenglade_emulator.announcer import Announcer
+from pollenglade_emulator.announcer import TargetState
+from pollenglade_emulator.processes import ManagedProcess
+from pollenglade_emulator.processes import NodeProcess
+from pollenglade_emulator.processes import TargetProcess
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_message import HttpResponse
+
+CALLERS = 8
+SLOTS = ("--slots", "4")
+PAUSE_S = 2.6
+"""Longer than the deadline of 2 s, so that a resumed process finds calls that are too late."""
+
+
+@dataclass
+class ProxiedTarget:
+    """A target that its node reaches only through a proxy."""
+
+    target: TargetProcess
+    control: Address
+    announcer: Announcer
+
+    @classmethod
+    async def start(cls, system: System, node: NodeProcess) -> ProxiedTarget:
+        """Start target and proxy, and announce the address of the proxy."""
+        log = ["--log-file", str(system.folder / "proxied.log")]
+        target = await system.processes.start_target("proxied", "fees", None, [*log, *SLOTS])
+        listen, control = system.processes.free_address(), system.processes.free_address()
+        command = ["-m", "pollenglade_emulator", "proxy", "--upstream", str(target.address)]
+        command += ["--listen", str(listen), "--control", str(control)]
+        process = await system.processes.start("proxy", command)
+        await system.processes.wait_ready(process, control, "/status")
+        announcer = Announcer(node.control, "fees", listen, int(SLOTS[1]))
+        announcer.state = TargetState.READY
+        announcer.start()
+        return cls(target, control, announcer)
+
+    async def set_mode(self, system: System, mode: str) -> None:
+        """Cut all connections or let them pass."""
+        body = orjson.dumps({"mode": mode})
+        response = await system.client.request(self.control, "PUT", "/conduct", None, body)
+        assert isinstance(response, HttpResponse) and response.status == 200, response
+
+
+class TrueRefusalsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.told: dict[str, tuple[str, str]] = {}
+        self.ended = False
+
+    async def test_not_run_is_true_under_failures_of_targets_nodes_and_links(self) -> None:
+        """A caller sends a refused payment again; a false refusal makes it run twice."""
+        async with started() as system:
+            entry = await system.add_node("z1")
+            first = await system.add_node("z1")
+            # One zone, because routing prefers the own zone and would spare the proxied target.
+            second = await system.add_node("z1")
+            target = await system.add_target(first, "fees", SLOTS)
+            proxied = await ProxiedTarget.start(system, second)
+            await system.wait_ready(entry, "fees")
+            entries = (entry, first)
+            callers = [
+                asyncio.ensure_future(self.send(system, entries[index % 2], index))
+                for index in range(CALLERS)
+            ]
+            await self.bring_about(system, target, proxied)
+            self.ended = True
+            await asyncio.gather(*callers)
+            # A paused process may still start calls that it received before.
+            await asyncio.sleep(0.5)
+            runs = Counter(run.request_id for run in system.executions())
+        refused = [name for name, (outcome, _) in self.told.items() if outcome == "not-run"]
+        counts = Counter(outcome for outcome, _ in self.told.values())
+        self.assertGreater(len(refused), 10, counts)
+        self.assertGreater(counts["ran"], 50, counts)
+        broken = {reason for outcome, reason in self.told.values() if outcome == "unknown"}
+        self.assertLessEqual({"target-failed", "timeout"}, broken)
+        self.assertEqual([], [(name, *self.told[name]) for name in refused if runs[name]])
+        ran = [name for name, (outcome, _) in self.told.items() if outcome == "ran"]
+        self.assertEqual([], [name for name in ran if not runs[name]])
+
+    async def bring_about(
+        self, system: System, target: TargetProcess, proxied: ProxiedTarget
+    ) -> None:
+        """Bring the failures about one after the other while calls arrive."""
+        entry, first, second = system.nodes
+        await asyncio.sleep(0.5)
+        await self.pause(target.process)
+        await self.conduct(system, proxied.target, shed=True)
+        await asyncio.sleep(0.5)
+        await self.conduct(system, proxied.target, shed=False)
+        await self.pause(second.process)
+        await self.pause(entry.process)
+        for _ in range(3):
+            await proxied.set_mode(system, "cut")
+            await proxied.set_mode(system, "pass")
+            await asyncio.sleep(0.2)
+        proxied.target.process.send(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+        await proxied.announcer.close()
+        replacement = await system.add_target(second, "fees", SLOTS)
+        await asyncio.sleep(1.0)
+        draining = asyncio.ensure_future(replacement.process.stop())
+        await asyncio.sleep(0.8)
+        second.process.send(signal.SIGTERM)
+        await asyncio.sleep(0.8)
+        await draining
+        first.process.send(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+
+    async def pause(self, process: ManagedProcess) -> None:
+        """Stop a process for longer than the deadline of its calls."""
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        process.send(signal.SIGCONT)
+        await asyncio.sleep(0.3)
+
+    async def conduct(self, system: System, target: TargetProcess, **conduct: object) -> None:
+        """Tell a target how to behave."""
+        await system.client.request(
+            target.address, "PUT", "/_conduct", None, orjson.dumps(conduct), timeout_s=5.0
+        )
+
+    async def send(self, system: System, node: NodeProcess, caller: int) -> None:
+        """Send calls of every kind until the failures are over."""
+        source = Random(caller)
+        index = 0
+        while not self.ended:
+            index += 1
+            name = f"call-{caller}-{index}"
+            headers = [(REQUEST, name.encode()), (WORK, b"%d" % source.choice((1, 20, 150)))]
+            if source.random() < 0.3:
+                headers.append((b"idempotency-key", name.encode()))
+                response = await system.call(node, "/fees/payment/1", headers, "POST", b"pay")
+            else:
+                response = await system.call(node, "/fees/files/1", headers)
+            self.told[name] = (outcome_of(response), reason_of(response))
+            await asyncio.sleep(source.uniform(0.0, 0.05))
