--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -10,11 +10,13 @@
 
 import h11
 
+from .http_message import END_OF_MESSAGE
 from .http_message import MAX_HEAD_BYTES
 from .http_message import FailureReason
 from .http_message import Headers
 from .http_message import HttpFailure
 from .http_message import HttpResponse
+from .http_message import valid_headers
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -108,18 +110,24 @@
         body: bytes,
         sink: ResponseSink,
         timeout_s: float,
+        validated: bool = False,
     ) -> None:
-        """Send a request; the sink gets the response or the failure."""
+        """Send a request; the sink gets the response or the failure.
+
+        `validated` says that h11 has parsed the fields before or that they are constants.
+        """
         assert self._transport is not None and self._sink is None
         self._sink = sink
         fields = headers
         if body or method in ("POST", "PUT", "PATCH"):
             fields = [*headers, (b"content-length", b"%d" % len(body))]
         try:
-            parts = [self._h11.send(h11.Request(method=method, target=target, headers=fields))]
+            checked = valid_headers(fields) if validated else fields
+            head = h11.Request(method=method, target=target, headers=checked)
+            parts = [self._h11.send(head)]
             if body:
                 parts.append(self._h11.send(h11.Data(data=body)))
-            parts.append(self._h11.send(h11.EndOfMessage()))
+            parts.append(self._h11.send(END_OF_MESSAGE))
         except h11.LocalProtocolError as error:
             self._sink = None
             self.abort()
@@ -202,9 +210,15 @@
 
 
 class ConnectionPool:
-    """Open connections by address; the most recently used one is taken first."""
+    """Open connections by address; the most recently used one is taken first.
+
+    Connections come from `source_host` where it is set.
+    """
 
-    def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+    def __init__(
+        self, max_idle: int = MAX_IDLE_CONNECTIONS, source_host: str | None = None
+    ) -> None:
+        self._local_address = (source_host, 0) if source_host else None
         self._idle_by_address: dict[Address, deque[ClientConnection]] = {}
         self._max_idle = max_idle
         self._open: set[ClientConnection] = set()
@@ -228,7 +242,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self, address), address.host, address.port
+                    lambda: ClientConnection(self, address),
+                    address.host,
+                    address.port,
+                    local_addr=self._local_address,
                 )
         except TimeoutError:
             return HttpFailure(FailureReason.CONNECT, False, f"{address}: connect timed out")
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import suspect_runner
 from pollenglade_core.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
@@ -74,6 +74,8 @@
         self._attempt: Attempt | None = None
         self._route: Route | None = None
         self._attempt_started_at = 0.0
+        self._target_s = 0.0
+        self._status = 0
         self._lent = 0
         self._reroutes = 0
         self._excluded: set[str] = set()
@@ -92,9 +94,7 @@
         if context.remaining_s(now) <= 0.0:
             self.finish_refused(Refusal(Reason.DEADLINE, detail="the deadline has passed"))
             return
-        route = self._entry.router.pick(
-            context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        route = self._pick(now)
         if isinstance(route, Refusal):
             self.finish_refused(route)
             return
@@ -108,6 +108,18 @@
             return
         self._start_attempt(route, now)
 
+    def _pick(self, now: float) -> Route | Refusal:
+        context = self.context
+        excluded = frozenset(self._excluded)
+        if self._entry.is_suspect(context, now):
+            # All entry nodes send a suspected call to the same node, which runs one at a time.
+            nodes = self._entry.router.usable_nodes(context.service, now) - excluded
+            runner = suspect_runner(context.fingerprint, nodes)
+            if runner is not None:
+                others = self._entry.router.usable_nodes(context.service, now) - {runner}
+                excluded = excluded | others
+        return self._entry.router.pick(context.service, now, excluded, self._entry.source)
+
     def _start_attempt(self, route: Route, now: float) -> None:
         node = route.node
         self._route = route
@@ -117,7 +129,7 @@
         allowance = self.context.allowance
         self._lent = max(0, allowance.remaining - 1)
         allowance.remaining -= self._lent
-        attempt_context = replace(self.context, allowance=RetryAllowance(self._lent))
+        attempt_context = self.context.with_allowance(RetryAllowance(self._lent))
         sent = self._entry.dispatcher.send(node, attempt_context, self.request, self)
         if not self.is_open or self._route is not route:
             return
@@ -134,6 +146,7 @@
         self._route = None
         self._attempt = None
         self.context.allowance.give_back(feedback.unspent, self._lent)
+        self._target_s += feedback.target_s
         level = AdmissionLevel(
             Importance(min(max(feedback.level, 0), max(Importance))), feedback.level_fraction
         )
@@ -154,6 +167,7 @@
         if self.on_result is not None:
             self._collected = _Collected(status, headers)
             return
+        self._status = status
         self._exchange.on_drained = self._on_drained
         self._exchange.start(status, [*headers, OUTCOME_RAN])
 
@@ -183,7 +197,7 @@
         if collected is not None:
             self.finish(collected.status, collected.headers, b"".join(collected.parts))
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(self._status)
         self._close(self.context.allowance.remaining)
         self._exchange.end()
 
@@ -250,9 +264,7 @@
     def _resend(self, refusal: Refusal) -> None:
         self.context.call_id = self._entry.next_call_id()
         now = monotonic()
-        available = self._entry.router.pick(
-            self.context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        available = self._pick(now)
         if isinstance(available, Refusal):
             # The reason of the attempt says more than the lack of a further node.
             self.finish_refused(refusal)
@@ -267,7 +279,7 @@
             callback, self.on_result = self.on_result, None
             callback(status, headers, body, None)
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(status)
         self._close(self.context.allowance.remaining)
         self._exchange.respond(status, [*headers, OUTCOME_RAN], body)
 
@@ -306,9 +318,13 @@
         self._count(Outcome.UNKNOWN, Reason.CANCELLED)
         self._close(None)
 
-    def _count(self, outcome: Outcome, reason: Reason | None) -> None:
+    def _count_ran(self, status: int) -> None:
+        elapsed_s = monotonic() - self.started_at
+        self._entry.counter.ran(self.context, status, elapsed_s, self._target_s)
+
+    def _count(self, outcome: Outcome, reason: Reason) -> None:
         elapsed_s = monotonic() - self.started_at
-        self._entry.counter.finished(self.context, outcome, reason, elapsed_s)
+        self._entry.counter.failed(self.context, outcome, reason, elapsed_s)
 
     def _close(self, unspent: int | None) -> None:
         self.is_open = False
