Let a share grow only after the other zones have shrunk

Cause: zones apply a change of weights or zones up to 7 s apart, so a zone that grows early and one that shrinks late grant the moved part twice. Changes of totals are not affected, because no share moves.

Change: ShareChanges compares a division with those that may still be in force and delays growth by 15 s (7 s in force, 7 s for a skipped version, 1 s for grants). What falls, falls at once. A node that starts waits as well, unless the profile was never changed or its last change is older than 10 min.

Ruled out: 8 s; a holder that skips a version which another holder has had in force for 8 s could still act on the version before it.

The new test fails with a delay of 0.

--- a/packages/pollenglade-core/src/pollenglade_core/quota.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota.py
@@ -18,7 +18,9 @@
 from .quota_messages import Granted
 from .quota_messages import QuotaAsk
 from .quota_messages import Settlement
-from .zone_shares import zone_shares
+from .share_changes import ShareChanges
+from .zone_shares import ZoneShare
+from .zone_shares import contract_shares
 
 __all__ = [
     "GRANT_LIFETIME_S",
@@ -33,9 +35,11 @@
     "Refused",
     "SettleHolder",
     "Settlement",
+    "ShareChanges",
     "SlotAuthority",
     "SlotHold",
     "Spent",
     "Waiting",
-    "zone_shares",
+    "ZoneShare",
+    "contract_shares",
 ]
--- a/packages/pollenglade-core/src/pollenglade_core/quota_holder.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota_holder.py
@@ -14,6 +14,7 @@
 from .quota_messages import Granted
 from .quota_messages import QuotaAsk
 from .quota_messages import Settlement
+from .zone_shares import ZoneShare
 
 ANSWER_MEMORY_S = 5.0
 """How long an answer is repeated for a repeated request; a grant is useless after 1 s."""
@@ -34,11 +35,23 @@
         """Return the hold on a slot; None while the node must not grant from it."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Share:
-    rate_per_s: int
-    burst: int
+    """What may be granted now; from `grows_at` on it is `target`."""
+
+    current: ZoneShare
     since: float
+    target: ZoneShare
+    grows_at: float
+
+    def change(self, target: ZoneShare, grows_at: float) -> None:
+        """Aim at another share. What falls, falls at once; growth waits for all changes."""
+        self.target = target
+        self.grows_at = max(self.grows_at, grows_at)
+        self.current = ZoneShare(*map(min, self.current, target))
+
+    def is_due(self, now: float) -> bool:
+        return self.current != self.target and now >= self.grows_at
 
 
 @dataclass(slots=True)
@@ -56,19 +69,36 @@
         self._held_by_account: dict[Account, _Held] = {}
         self._answers_by_id: OrderedDict[str, tuple[float, Granted | Denied]] = OrderedDict()
 
-    def set_share(self, account: Account, rate_per_s: int, burst: int, now: float) -> None:
-        """Apply the zone's share of a contract; 0 for both withdraws it.
+    def set_share(
+        self, account: Account, share: ZoneShare, now: float, growth_delay_s: float = 0.0
+    ) -> None:
+        """Apply the zone's share of a contract; 0 for both figures withdraws it.
 
-        A withdrawn share keeps its bucket, because tokens granted from it may still be spent.
+        What grows does so after `growth_delay_s`. A withdrawn share keeps its bucket, because
+        tokens granted from it may still be spent.
         """
         known = self._shares_by_account.get(account)
-        if known is not None and (known.rate_per_s, known.burst) == (rate_per_s, burst):
-            return
+        if known is None:
+            none = ZoneShare(0, 0)
+            known = self._shares_by_account[account] = _Share(none, now, none, now)
+        self._grow(account, known, now)
+        before = known.current
+        known.change(share, now + growth_delay_s)
+        if known.current != before:
+            self._change_bucket(account, known, now)
+        self._grow(account, known, now)
+
+    def _grow(self, account: Account, share: _Share, now: float) -> None:
+        if share.is_due(now):
+            share.current = share.target
+            self._change_bucket(account, share, share.grows_at)
+
+    def _change_bucket(self, account: Account, share: _Share, at: float) -> None:
         held = self._held_by_account.get(account)
         if held is not None:
-            held.bucket.change(rate_per_s, burst, now)
+            held.bucket.change(*share.current, at)
         # A bucket that is created later accrues from here, not at these figures from earlier on.
-        self._shares_by_account[account] = _Share(rate_per_s, burst, now)
+        share.since = at
 
     def ask(self, ask: QuotaAsk, now: float) -> Granted | Denied:
         """Grant tokens or deny them; a repeated request id gets its first answer again."""
@@ -103,11 +133,12 @@
         hold = self._authority.hold(slot_of(account.organisation), now)
         if share is None or hold is None:
             return None
+        self._grow(account, share, now)
         held = self._held_by_account.get(account)
         if held is None or held.epoch != hold.epoch:
             # A new epoch means that another node may have granted in between: start empty.
             start = max(hold.since, share.since)
-            held = _Held(hold.epoch, GrantingBucket(share.rate_per_s, share.burst, start))
+            held = _Held(hold.epoch, GrantingBucket(*share.current, start))
             self._held_by_account[account] = held
         return held
 
--- a/packages/pollenglade-core/src/pollenglade_core/zone_shares.py
+++ b/packages/pollenglade-core/src/pollenglade_core/zone_shares.py
@@ -5,6 +5,23 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from fractions import Fraction
+from typing import NamedTuple
+
+
+class ZoneShare(NamedTuple):
+    """The part of a contract that one zone grants."""
+
+    rate_per_s: int
+    burst: int
+
+
+def contract_shares(
+    rate_per_s: int, burst: int, weights: Mapping[str, int]
+) -> dict[str, ZoneShare]:
+    """Return the share of each zone in a contract; `weights` names every zone of the profile."""
+    zones = sorted(weights)
+    rates, bursts = zone_shares(rate_per_s, zones, weights), zone_shares(burst, zones, weights)
+    return {zone: ZoneShare(rates[zone], bursts[zone]) for zone in zones}
 
 
 def zone_shares(total: int, zones: Sequence[str], weights: Mapping[str, int]) -> dict[str, int]:
--- a/packages/pollenglade-core/tests/test_core/quota_fleet.py
+++ b/packages/pollenglade-core/tests/test_core/quota_fleet.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -22,8 +23,9 @@
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import Refused
 from pollenglade_core.quota import SettleHolder
+from pollenglade_core.quota import ShareChanges
 from pollenglade_core.quota import Spent
-from pollenglade_core.quota import zone_shares
+from pollenglade_core.quota import contract_shares
 from pollenglade_core.quota_borrower import BorrowerAction
 
 TICK_S = 1 / 1024  # exact in binary, so that the check of windows has no rounding
@@ -32,6 +34,16 @@
 Act = Callable[[], None]
 
 
+@dataclass(frozen=True)
+class Contract:
+    """A version of a contract with the weights of the zones."""
+
+    revision: int
+    rate: int
+    burst: int
+    weights: Mapping[str, int]
+
+
 class Host:
     """One process with its roles; a restart replaces all of them."""
 
@@ -43,6 +55,8 @@
         self.without_platform = False
         self.leases = ZoneLeases(name, incarnation, fleet.slots)
         self.holder = QuotaHolder(self.leases)
+        self.shares = ShareChanges()
+        self.revisions: dict[Account, int] = {}
         self.borrower = fleet.borrower_type(
             f"{name}.{incarnation}", self.zone, fleet.zones, fleet.random
         )
@@ -65,7 +79,11 @@
         self.now = 64.0
         self.zones = tuple(hosts_by_zone)
         self.borrower_type = borrower_type
-        self.contracts = dict(accounts)
+        weights = {zone: index + 1 for index, zone in enumerate(self.zones)}
+        self.contracts = {
+            account: Contract(1, rate, burst, weights)
+            for account, (rate, burst) in accounts.items()
+        }
         self.slots = sorted({slot_of(account.organisation) for account in accounts})
         self.rows: dict[tuple[str, int], StoredSlotRow] = {}
         self.announcements: dict[str, tuple[int, int]] = {}
@@ -86,18 +104,34 @@
     def start(self, name: str, incarnation: int) -> None:
         """Start a process that remembers nothing; a former process of the name ends at once."""
         host = self.hosts[name] = Host(self, name, incarnation)
-        for account in self.contracts:
-            self.configure(host, account)
+        for account, contract in self.contracts.items():
+            self._configure(host, account, contract)
         self._repeat(host, 10.0, self._renew)
         self._repeat(host, 0.5, self._advance_leases)
         self._repeat(host, 1.0, self._gossip)
         self._repeat(host, 0.125, lambda at: self._do(at, at.borrower.advance(self.clock(at))))
 
-    def configure(self, host: Host, account: Account) -> None:
-        """Apply the contract in force to one host."""
-        weights = {zone: index + 1 for index, zone in enumerate(self.zones)}
-        rate, burst = (zone_shares(n, self.zones, weights) for n in self.contracts[account])
-        host.holder.set_share(account, rate[host.zone], burst[host.zone], self.clock(host))
+    def change(
+        self, account: Account, rate: int, burst: int, weights: Mapping[str, int] | None = None
+    ) -> None:
+        """Accept a contract; each host has it in force within 7 s, in any order with others."""
+        before = self.contracts[account]
+        contract = Contract(before.revision + 1, rate, burst, weights or before.weights)
+        self.contracts[account] = contract
+        for host in self.hosts.values():
+            delay_s = self.random.randrange(0, 7 * 1024) * TICK_S
+            self.after(delay_s, host, partial(self._configure, host, account, contract))
+
+    def _configure(self, host: Host, account: Account, contract: Contract) -> None:
+        revision, known = contract.revision, host.revisions.get(account, 0)
+        if revision <= known:
+            return
+        host.revisions[account] = revision
+        shares = contract_shares(contract.rate, contract.burst, contract.weights)
+        now = self.clock(host)
+        complete = revision == known + 1
+        delay_s = host.shares.growth_delay_s(account, revision, shares, complete, now)
+        host.holder.set_share(account, shares[host.zone], now, delay_s)
 
     def call(self, name: str, account: Account) -> None:
         """Let a call arrive at a host."""
--- a/packages/pollenglade-core/tests/test_core/test_lease.py
+++ b/packages/pollenglade-core/tests/test_core/test_lease.py
@@ -23,6 +23,7 @@
 from pollenglade_core.quota import QuotaAsk
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import SlotHold
+from pollenglade_core.quota import ZoneShare
 from pollenglade_core.slot_lease import SlotLease
 
 from .quota_fleet import TICK_S
@@ -152,7 +153,7 @@
         """Tokens of a former epoch come on top of those that another holder granted since."""
         authority = FixedHold(SlotHold(1, 0.0))
         holder = QuotaHolder(authority)
-        holder.set_share(ACCOUNT, 1, 50, 0.0)
+        holder.set_share(ACCOUNT, ZoneShare(1, 50), 0.0)
         ask = QuotaAsk("b", "1", ACCOUNT, 1, 1)
         self.assertIsInstance(holder.ask(ask, 60.0), Granted)
         authority.current = SlotHold(2, 60.0)
--- a/packages/pollenglade-core/tests/test_core/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -139,10 +139,15 @@
     @rule(account=st.sampled_from(ACCOUNTS), rate=st.integers(0, 60), burst=st.integers(0, 30))
     def change_contract(self, account: Account, rate: int, burst: int) -> None:
         largest_rate, largest_burst = LARGEST[account]
-        self.fleet.contracts[account] = (min(rate, largest_rate), min(burst, largest_burst))
-        for host in self.fleet.hosts.values():
-            delay_s = self.fleet.random.randrange(0, 7 * 1024) * TICK_S
-            self.fleet.after(delay_s, host, lambda h=host: self.fleet.configure(h, account))  # type: ignore[misc]
+        self.fleet.change(account, min(rate, largest_rate), min(burst, largest_burst))
+
+    @rule(account=st.sampled_from(ACCOUNTS), weights=st.tuples(*[st.integers(0, 3)] * 2))
+    def move_shares(self, account: Account, weights: tuple[int, int]) -> None:
+        """Zones that grow before others have shrunk grant more than the contract together."""
+        weight_by_zone = dict(zip(self.fleet.zones, weights, strict=False))
+        if any(weight_by_zone.values()):
+            contract = self.fleet.contracts[account]
+            self.fleet.change(account, contract.rate, contract.burst, weight_by_zone)
 
     @invariant()
     def no_window_exceeds_the_largest_contract(self) -> None:
@@ -154,6 +159,35 @@
 FleetTest.settings = settings(max_examples=100, stateful_step_count=20)
 
 
+class MovedSharesTest(unittest.TestCase):
+    @given(
+        st.integers(0, 2**32),
+        st.lists(
+            st.tuples(st.integers(1, 20), st.integers(1, 20), st.integers(2, 24), st.booleans()),
+            min_size=3,
+            max_size=8,
+        ),
+    )
+    @settings(max_examples=10)
+    def test_moving_shares_between_zones_admits_no_more(
+        self, seed: int, moves: list[tuple[int, int, int, bool]]
+    ) -> None:
+        """A zone that grows before another has shrunk admits the moved part twice."""
+        account = ACCOUNTS[0]
+        fleet = Fleet(seed, {"a": 2, "b": 2}, {account: (20, 20)})
+        fleet.run(10.0)
+        for weight_a, weight_b, length_s, restarts in moves:
+            fleet.change(account, 20, 20, {"a": weight_a, "b": weight_b})
+            if restarts:
+                host = fleet.hosts[fleet.random.choice(list(fleet.hosts))]
+                fleet.start(host.name, host.incarnation + 1)
+            for _ in range(16 * length_s):
+                for name in fleet.hosts:
+                    fleet.call(name, account)
+                fleet.run(64 * TICK_S)
+        self.assertEqual(0, excess(fleet.spent[account], 20, 20))
+
+
 class CalmTest(unittest.TestCase):
     def test_refusals_within_the_rate_are_rare(self) -> None:
         """Slices parked at idle hosts would refuse calls that the contract allows."""
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -5,12 +5,17 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 from collections.abc import Sequence
 from time import monotonic
+from time import time
 from typing import Any
 from typing import Protocol
 
+from pollenglade_core.configuration import Acceptance
+from pollenglade_core.configuration import Action
 from pollenglade_core.configuration import Configuration
+from pollenglade_core.configuration import Kind
 from pollenglade_core.lease import ZoneLeases
 from pollenglade_core.lease_rows import LeaseAction
 from pollenglade_core.lease_rows import ReadAnnouncement
@@ -27,8 +32,10 @@
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import Refused
 from pollenglade_core.quota import SettleHolder
+from pollenglade_core.quota import ShareChanges
 from pollenglade_core.quota import Spent
-from pollenglade_core.quota import zone_shares
+from pollenglade_core.quota import ZoneShare
+from pollenglade_core.quota import contract_shares
 from pollenglade_core.quota_borrower import BorrowerAction
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.platform_api import Absent
@@ -50,6 +57,13 @@
 
 ADVANCE_INTERVAL_S = 0.1
 LEASE_INTERVAL_S = 1.0
+SETTLED_S = 600.0
+"""A change this old by the wall clocks of operator and node is in force everywhere.
+
+A node that starts cannot measure the age of a change itself. The limit is far above the 15 s that a
+growing share waits, so that clocks may differ by almost 10 min.
+"""
+
 ASK_TOPIC = "quota-ask"
 SETTLE_TOPIC = "quota-settle"
 
@@ -72,6 +86,11 @@
         """Ask a node; `callback` gets the answer, or None where there is none."""
 
 
+def _is_settled(accepted: Acceptance) -> bool:
+    """Return whether no other division of a profile that is new to this node can be in force."""
+    return accepted.action is Action.PUBLISH or time() - accepted.stamp.when > SETTLED_S
+
+
 class QuotaService:
     """Drives borrower, holder and leases of one node."""
 
@@ -101,6 +120,8 @@
         self.leases = ZoneLeases(node, incarnation)
         self.holder = QuotaHolder(self.leases)
         self._accounts: set[Account] = set()
+        self._share_changes = ShareChanges()
+        self._version = 0
 
     async def start(self) -> None:
         """Start the timers."""
@@ -112,18 +133,31 @@
         now = monotonic()
         accounts: set[Account] = set()
         for profile in configuration.profiles_by_name.values():
-            if self._zone not in profile.zones:
-                continue
-            zones = tuple(profile.zones)
             for contract in profile.organisations_by_id.values():
                 account = Account(profile.name, contract.organisation)
-                rate = zone_shares(contract.rate_per_s, zones, profile.zones)[self._zone]
-                burst = zone_shares(contract.burst, zones, profile.zones)[self._zone]
-                self.holder.set_share(account, rate, burst, now)
+                shares = contract_shares(contract.rate_per_s, contract.burst, profile.zones)
+                self._set_shares(account, shares, configuration, now)
                 accounts.add(account)
         for account in self._accounts - accounts:
-            self.holder.set_share(account, 0, 0, now)
+            self._set_shares(account, {}, configuration, now)
         self._accounts = accounts
+        self._version = configuration.version
+
+    def _set_shares(
+        self,
+        account: Account,
+        shares: Mapping[str, ZoneShare],
+        configuration: Configuration,
+        now: float,
+    ) -> None:
+        accepted = configuration.acceptance(Kind.PROFILE, account.profile)
+        revision = accepted.revision if accepted is not None else configuration.version
+        complete = configuration.version == self._version + 1
+        if account not in self._accounts and accepted is not None:
+            complete = complete or _is_settled(accepted)
+        delay_s = self._share_changes.growth_delay_s(account, revision, shares, complete, now)
+        own = shares.get(self._zone, ZoneShare(0, 0))
+        self.holder.set_share(account, own, now, delay_s)
 
     def spend(
         self,
