Grant nothing in advance from small buckets

Cause: a token that an idle node holds for calls to come is a large part of a burst of 5, and is missing elsewhere.

Change: a zone share with a burst below 16 grants only what waiting calls need. Its calls wait for a round trip. The bucket machine draws a burst of 5 or 20, so that it still grants in advance.

The contracts 3/3, 20/20 and 60/30 are also within 0.1 %.

--- a/packages/pollenglade-core/src/pollenglade_core/granting_bucket.py
+++ b/packages/pollenglade-core/src/pollenglade_core/granting_bucket.py
@@ -9,6 +9,13 @@
 TICKS_PER_S = 1 << 30
 """Resolution of accrual. Whole ticks keep rounding from adding up over the life of a bucket."""
 
+PREFETCH_MIN_BURST = 16
+"""A smaller bucket grants nothing in advance.
+
+One token held by an idle borrower is a large part of it: at rate 20 and burst 5 prefetch refused 3 %
+of the calls within the rate. Without it every call of such a contract waits for a round trip.
+"""
+
 LIFETIME_TICKS = int(GRANT_LIFETIME_S * TICKS_PER_S)
 
 
@@ -58,13 +65,14 @@
     def grant(self, request_id: str, needed: int, wanted: int, now: float) -> int:
         """Return the number of tokens granted; 0 where none are available.
 
-        Tokens beyond `needed` are granted only from the upper half of the bucket, so that prefetch
-        by one borrower does not make calls at another wait.
+        Tokens beyond `needed` are granted only from the upper half of a bucket that is not small,
+        so that prefetch by one borrower does not make calls at another wait.
         """
         self.advance(now)
         tokens = min(max(needed, 0), self._level_ticks // TICKS_PER_S)
         spare_ticks = self._level_ticks - tokens * TICKS_PER_S - self.burst * TICKS_PER_S // 2
-        tokens += min(max(wanted - needed, 0), max(spare_ticks // TICKS_PER_S, 0))
+        if self.burst >= PREFETCH_MIN_BURST:
+            tokens += min(max(wanted - needed, 0), max(spare_ticks // TICKS_PER_S, 0))
         if tokens < 1 or request_id in self._grants_by_id:
             return 0
         self._level_ticks -= tokens * TICKS_PER_S
--- a/packages/pollenglade-core/tests/test_core/test_granting_bucket.py
+++ b/packages/pollenglade-core/tests/test_core/test_granting_bucket.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
@@ -41,6 +42,12 @@
         self.reports: list[tuple[str, int, int]] = []
         self.spent_at: list[float] = []
 
+    @initialize(burst=st.sampled_from([5, 20]))
+    def begin(self, burst: int) -> None:
+        """Prefetch is granted from the larger bucket only."""
+        self.burst = burst
+        self.bucket = GrantingBucket(self.rate, burst, self.now)
+
     @rule(ticks=st.one_of(st.integers(1, 16), st.integers(1, 200)))
     def wait(self, ticks: int) -> None:
         self.now += ticks * TICK_S
@@ -76,9 +83,9 @@
             request_id, spent, returned = data.draw(st.sampled_from(self.reports))
             self.bucket.settle(request_id, spent, returned, self.now)
 
-    @rule(rate=st.integers(0, 7), burst=st.integers(0, 5))
+    @rule(rate=st.integers(0, 7), burst=st.integers(0, 20))
     def change(self, rate: int, burst: int) -> None:
-        self.bucket.change(rate, burst, self.now)
+        self.bucket.change(rate, min(burst, self.burst), self.now)
 
     @invariant()
     def no_window_exceeds_the_largest_contract(self) -> None:
--- a/packages/pollenglade-core/tests/test_core/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -197,6 +197,19 @@
         self.assertGreater(offered, 8_000)
         self.assertLessEqual(refused, offered * 0.001)
 
+    def test_refusals_of_small_contracts_are_rare(self) -> None:
+        """Tokens divided over zones or held by idle nodes refuse calls of a small burst."""
+        for rate, burst, load in ((3, 3, 0.5), (5, 5, 0.8), (20, 20, 0.8), (60, 30, 0.8)):
+            with self.subTest(rate=rate, burst=burst):
+                offered, refused = calm_load(rate, burst, load, 32)
+                self.assertGreater(offered, 100)
+                self.assertLessEqual(refused, offered * 0.001)
+
+    def test_refusals_at_a_fast_and_small_contract_are_rare(self) -> None:
+        """Tokens on their way block accrual; at 20 per second and burst 5 the delay counts."""
+        offered, refused = calm_load(20, 5, 0.8, 32)
+        self.assertLessEqual(refused, offered * 0.001, f"{refused} of {offered}")
+
 
 def calm_load(rate: int, burst: int, load: float, length_s: int) -> tuple[int, int]:
     """Return the calls offered within rate and burst on four zones, and those refused."""
