Reset the connection of a call that the HTTP client gives up

The client closed its connection in the ordinary way. The server keeps the exchange of a connection whose sending side has closed, because the caller may still wait for the response, so that the target never learned that the call was given up. A probe with a handler of 2 s and a timeout of 0.5 s showed the handler complete after 2.0 s.

Ruled out: the floor of the limit. Treating the end of the sending side as a cancellation was not chosen: pipelined requests with a closed sending side are answered today and a test asks for it.

Change: a call that is given up (timeout, cancel, protocol error) sets SO_LINGER to 0 before the close, so that the server sees a reset.

The probe's handler is cancelled after 0.5 s, with asyncio and with uvloop.

--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from dataclasses import dataclass
 from typing import Protocol
@@ -26,6 +28,9 @@
 
 MAX_IDLE_CONNECTIONS = 64
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing sends a reset."""
+
 
 class ResponseSink(Protocol):
     """Receives the parts of one response; exactly one of `on_end` and `on_failure` comes last."""
@@ -177,7 +182,7 @@
     def _fail(self, reason: FailureReason, detail: str) -> None:
         sink, self._sink = self._sink, None
         self._stop_timer()
-        self.abort()
+        self._reset()
         if sink is not None:
             sink.on_failure(HttpFailure(reason, True, detail))
 
@@ -185,7 +190,7 @@
         """Give up on the response; the connection is closed, never reused."""
         self._sink = None
         self._stop_timer()
-        self.abort()
+        self._reset()
 
     def pause(self) -> None:
         """Stop reading from the server until `resume`."""
@@ -202,6 +207,17 @@
             self._timer.cancel()
             self._timer = None
 
+    def _reset(self) -> None:
+        """Close so that the server sees that the response is not wanted.
+
+        A plain close looks like a caller that has closed its sending side and waits for the
+        response, and the server would complete the work.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            connection = self._transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.abort()
+
     def abort(self) -> None:
         """Close at once."""
         self._pool.forget(self)
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -72,6 +72,27 @@
         self.assertEqual(sorted(positions), positions)
         self.assertNotIn(-1, positions)
 
+    async def test_timeout_cancels_the_work_of_the_server(self) -> None:
+        """Work for a call that was given up occupies a slot and is wasted."""
+        cancelled = asyncio.Event()
+
+        async def never(request: HttpRequest) -> HttpResponse:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.set()
+            return HttpResponse(200, [], b"")
+
+        server = HttpServer(async_handler(never))
+        port = await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        client = HttpClient()
+        self.addAsyncCleanup(client.close)
+        response = await client.request(Address("127.0.0.1", port), "GET", "/", timeout_s=0.1)
+        self.assertIsInstance(response, HttpFailure)
+        async with asyncio.timeout(READ_LIMIT_S):
+            await cancelled.wait()
+
     async def test_truncated_response_is_a_failure(self) -> None:
         """A body that ends before its length must never be taken for a whole response."""
 
