--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 	$(BIN)/black --quiet $(SOURCES)
 
 bench: setup
+	$(BIN)/python -m pollenglade_emulator link-comparison
+	$(BIN)/python -m pollenglade_emulator hop-cost
+	$(BIN)/python -m pollenglade_emulator control-cost
 	$(BIN)/python -m pollenglade_emulator bench $(SCENARIO)
 
 soak: setup
