Bound the queue inside targets more tightly

The limits of the other targets admitted calls until the latency was twice the baseline.

Change: TOLERANCE is 1.5 instead of 2, and the floor of a target that announces fewer than 4 slots is its number of slots.

--- a/packages/pollenglade-core/src/pollenglade_core/limit.py
+++ b/packages/pollenglade-core/src/pollenglade_core/limit.py
@@ -15,7 +15,11 @@
 """Largest limit that a measured limit grows to."""
 
 MIN_LIMIT = 4
-"""Smallest floor; below it one slow call would hold back all others."""
+"""Smallest floor of a target with at least as many slots.
+
+Below it one slow call would hold back all others. A target with fewer slots starts with its own
+number; the calls above it would only wait inside the target, where they cannot be refused.
+"""
 
 FLOOR_RATIO = 0.2
 """Part of the starting value that always remains usable.
@@ -32,8 +36,12 @@
 MAX_SAMPLES = 256
 """Samples kept per window; bounds the cost of the median."""
 
-TOLERANCE = 2.0
-"""Ratio of measured latency to baseline up to which the limit does not fall."""
+TOLERANCE = 1.5
+"""Ratio of measured latency to baseline up to which the limit does not fall.
+
+It bounds the queue inside a target that is in full use; with 2, calls that had waited inside a
+target timed out in the surge scenarios.
+"""
 
 MIN_BASELINE_S = 1e-6
 """Resolution of the clock; a call can take no measurable time."""
@@ -138,8 +146,8 @@
     def __init__(self, hint: int, max_limit: int = MAX_LIMIT) -> None:
         self._max = max(1, max_limit)
         start = min(max(1, hint), self._max)
-        self._floor = min(self._max, max(MIN_LIMIT, start * FLOOR_RATIO))
-        self._value = max(self._floor, float(start))
+        self._floor = max(min(MIN_LIMIT, start), start * FLOOR_RATIO)
+        self._value = float(start)
         self._limit = int(self._value)
         self._recovery_target = self._value
         self._falling = False
--- a/packages/pollenglade-core/tests/test_core/test_limit.py
+++ b/packages/pollenglade-core/tests/test_core/test_limit.py
@@ -114,6 +114,11 @@
             limit.on_finish(now, latency_s, slots // 2, True, kind)
         self.assertGreaterEqual(limit.limit, slots)
 
+    @given(st.integers(1, 1_000))
+    def test_starts_at_the_hint(self, slots: int) -> None:
+        """Calls above the slots of a small target wait where they cannot be refused."""
+        self.assertEqual(slots, GradientLimit(slots).limit)
+
     def test_unused_limit_does_not_grow(self) -> None:
         """A limit that grows while idle admits a whole surge at once."""
         limit = GradientLimit(10)
