--- a/packages/pollenglade-core/src/pollenglade_core/limit.py
+++ b/packages/pollenglade-core/src/pollenglade_core/limit.py
@@ -39,8 +39,8 @@
 TOLERANCE = 1.5
 """Ratio of measured latency to baseline up to which the limit does not fall.
 
-It bounds the queue inside a target that is in full use; with 2, calls that had waited inside a
-target timed out in the surge scenarios.
+It bounds the queue inside a target in full use. In a simulated target the limit reaches 2 to 2.9
+times the capacity, and 2.8 to 4 times with a tolerance of 2.
 """
 
 MIN_BASELINE_S = 1e-6
--- a/packages/pollenglade-core/tests/test_core/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -41,7 +41,8 @@
         if state.open_ask is not None:
             return []
         state.waiting = dict.fromkeys(map(str, range(30)))
-        ask = self._ask(account, state, self._source.choice(self._zones), now)
+        zones = self._zones_by_account[account]
+        ask = self._ask(account, state, self._source.choice(zones), now)
         state.waiting.clear()
         return [ask]
 
@@ -139,10 +140,15 @@
     @rule(account=st.sampled_from(ACCOUNTS), rate=st.integers(0, 60), burst=st.integers(0, 30))
     def change_contract(self, account: Account, rate: int, burst: int) -> None:
         largest_rate, largest_burst = LARGEST[account]
-        self.fleet.contracts[account] = (min(rate, largest_rate), min(burst, largest_burst))
-        for host in self.fleet.hosts.values():
-            delay_s = self.fleet.random.randrange(0, 7 * 1024) * TICK_S
-            self.fleet.after(delay_s, host, lambda h=host: self.fleet.configure(h, account))  # type: ignore[misc]
+        self.fleet.change(account, min(rate, largest_rate), min(burst, largest_burst))
+
+    @rule(account=st.sampled_from(ACCOUNTS), weights=st.tuples(*[st.integers(0, 3)] * 2))
+    def move_shares(self, account: Account, weights: tuple[int, int]) -> None:
+        """Zones that grow before others have shrunk grant more than the contract together."""
+        weight_by_zone = dict(zip(self.fleet.zones, weights, strict=False))
+        if any(weight_by_zone.values()):
+            contract = self.fleet.contracts[account]
+            self.fleet.change(account, contract.rate, contract.burst, weight_by_zone)
 
     @invariant()
     def no_window_exceeds_the_largest_contract(self) -> None:
@@ -154,31 +160,79 @@
 FleetTest.settings = settings(max_examples=100, stateful_step_count=20)
 
 
+class MovedSharesTest(unittest.TestCase):
+    @given(
+        st.integers(0, 2**32),
+        st.lists(
+            st.tuples(st.integers(1, 20), st.integers(1, 20), st.integers(2, 24), st.booleans()),
+            min_size=3,
+            max_size=8,
+        ),
+    )
+    @settings(max_examples=10)
+    def test_moving_shares_between_zones_admits_no_more(
+        self, seed: int, moves: list[tuple[int, int, int, bool]]
+    ) -> None:
+        """A zone that grows before another has shrunk admits the moved part twice."""
+        account = ACCOUNTS[0]
+        fleet = Fleet(seed, {"a": 2, "b": 2}, {account: (20, 20)})
+        fleet.run(10.0)
+        for weight_a, weight_b, length_s, restarts in moves:
+            fleet.change(account, 20, 20, {"a": weight_a, "b": weight_b})
+            if restarts:
+                host = fleet.hosts[fleet.random.choice(list(fleet.hosts))]
+                fleet.start(host.name, host.incarnation + 1)
+            for _ in range(16 * length_s):
+                for name in fleet.hosts:
+                    fleet.call(name, account)
+                fleet.run(64 * TICK_S)
+        self.assertEqual(0, excess(fleet.spent[account], 20, 20))
+
+
 class CalmTest(unittest.TestCase):
     def test_refusals_within_the_rate_are_rare(self) -> None:
         """Slices parked at idle hosts would refuse calls that the contract allows."""
-        offered = refused = 0
-        for seed in range(3):
-            account = Account("p", "abbey")
-            fleet = Fleet(seed, {"a": 8, "b": 8, "c": 8, "d": 8}, {account: (200, 200)})
-            fleet.run(20.0)
-            weights = [2.0 ** -(index % 6) for index in range(len(fleet.hosts))]
-            level, last = 200.0, fleet.now
-            for _ in range(20 * 1024):
-                level = min(200.0, level + 200 * (fleet.now - last))
-                last = fleet.now
-                if fleet.random.random() < 0.8 * 200 * TICK_S and level >= 1.0:
-                    level -= 1.0
-                    offered += 1
-                    fleet.call(fleet.random.choices(list(fleet.hosts), weights)[0], account)
-                fleet.run(TICK_S)
-            fleet.run(1.0)
-            refused += len(fleet.refused[account])
-            self.assertEqual(0, excess(fleet.spent[account], 200, 200))
+        offered, refused = calm_load(200, 200, 0.8, 20)
         print(f"refused {refused} of {offered} calls within the rate")
         self.assertGreater(offered, 8_000)
         self.assertLessEqual(refused, offered * 0.001)
 
+    def test_refusals_of_small_contracts_are_rare(self) -> None:
+        """Tokens divided over zones or held by idle nodes refuse calls of a small burst."""
+        for rate, burst, load in ((3, 3, 0.5), (5, 5, 0.8), (20, 20, 0.8), (60, 30, 0.8)):
+            with self.subTest(rate=rate, burst=burst):
+                offered, refused = calm_load(rate, burst, load, 32)
+                self.assertGreater(offered, 100)
+                self.assertLessEqual(refused, offered * 0.001)
+
+    def test_refusals_at_a_fast_and_small_contract_are_rare(self) -> None:
+        """Tokens on their way block accrual; at 20 per second and burst 5 the delay counts."""
+        offered, refused = calm_load(20, 5, 0.8, 32)
+        self.assertLessEqual(refused, offered * 0.001, f"{refused} of {offered}")
+
+
+def calm_load(rate: int, burst: int, load: float, length_s: int) -> tuple[int, int]:
+    """Return the calls offered within rate and burst on four zones, and those refused."""
+    offered = refused = 0
+    for seed in range(3):
+        account = Account("p", "abbey")
+        fleet = Fleet(seed, {"a": 8, "b": 8, "c": 8, "d": 8}, {account: (rate, burst)})
+        fleet.run(20.0)
+        weights = [2.0 ** -(index % 6) for index in range(len(fleet.hosts))]
+        level, last = float(burst), fleet.now
+        for _ in range(length_s * 1024):
+            level = min(float(burst), level + rate * (fleet.now - last))
+            last = fleet.now
+            if fleet.random.random() < load * rate * TICK_S and level >= 1.0:
+                level -= 1.0
+                offered += 1
+                fleet.call(fleet.random.choices(list(fleet.hosts), weights)[0], account)
+            fleet.run(TICK_S)
+        fleet.run(1.0)
+        refused += len(fleet.refused[account])
+        assert excess(fleet.spent[account], rate, burst) == 0
+    return offered, refused
+
 
 class PrefetchTest(unittest.TestCase):
     @given(st.integers(4, 200), st.integers(0, 2**32))
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry.py
@@ -4,7 +4,6 @@
 
 import hashlib
 from collections.abc import Callable
-from collections.abc import Sequence
 from dataclasses import dataclass
 from time import monotonic
 from typing import Protocol
@@ -15,7 +14,7 @@
 from pollenglade_core.configuration import Configuration
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
-from pollenglade_core.profile import OrganisationContract
+from pollenglade_core.quota_messages import Account
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.randomness import jittered
 from pollenglade_core.retry import RetryAllowance
@@ -30,7 +29,9 @@
 
 from .authentication import AUTHORIZATION
 from .authentication import CALL_HANDLE
+from .authentication import KEY_EXPOSED
 from .authentication import Authenticator
+from .authentication import holds_published_key
 from .call_counter import CallCounter
 from .entry_call import EntryCall
 from .refusal_response import respond_refusal
@@ -55,11 +56,7 @@
     """Spends tokens of an organisation."""
 
     def spend(
-        self,
-        profile: str,
-        contract: OrganisationContract,
-        zones: Sequence[str],
-        done: Callable[[Refusal | None], None],
+        self, account: Account, done: Callable[[Refusal | None], None]
     ) -> Callable[[], None] | None:
         """Call `done` with None once a token is spent, or with the refusal.
 
@@ -159,6 +156,10 @@
         """Return a delay with jitter for a refusal."""
         return jittered(RETRY_AFTER_S, self.source)
 
+    def is_suspect(self, context: CallContext, now: float) -> bool:
+        """Return whether a call like this was in flight at a crash of its target."""
+        return context.crash_count > 0 or self.serving.ledger.crashes(context.fingerprint, now) > 0
+
     def handle(self, exchange: Exchange) -> None:
         """Take a request from a caller or from a target of this host."""
         request = exchange.request
@@ -210,9 +211,7 @@
         )
         call = self._open(exchange, context, forwarded)
         call.abandon_wait = self._quota.spend(
-            profile.name,
-            contract,
-            tuple(profile.zones),
+            Account(profile.name, identity.organisation),
             lambda refusal: self._on_quota(call, refusal),
         )
 
@@ -232,6 +231,9 @@
             detail = "send either a key or one call handle"
             self._refuse(exchange, Refusal(Reason.BAD_REQUEST, detail=detail))
             return
+        if holds_published_key(request, self.configuration):
+            self._refuse(exchange, KEY_EXPOSED)
+            return
         handle = handles[0].decode("ascii", "replace")
         parent = self.serving.calls_by_handle.get(handle)
         resolved = self.serving.handles.resolve(handle, monotonic())
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -34,16 +34,21 @@
 from pollenglade_net.platform_client import PlatformClient
 
 from .call_counter import CallCounter
+from .claim_service import CLAIM_TOPIC
 from .claim_service import ClaimService
 from .configuration_sync import ConfigurationSync
 from .control import ControlApi
 from .control import add_target_route
+from .count_batches import CountBatches
 from .crash_notices import CRASH_TOPIC
+from .crash_notices import LEDGER_TOPIC
 from .crash_notices import CrashNotices
 from .entry import Entry
 from .fleet import Fleet
 from .gossip import Gossip
 from .links import Links
+from .metrics import Metrics
+from .metrics import Parts
 from .presence import Presence
 from .quota_service import ASK_TOPIC
 from .quota_service import SETTLE_TOPIC
@@ -67,6 +72,19 @@
 log = structlog.get_logger()
 
 
+def _own_member(settings: NodeSettings, incarnation: int) -> Member:
+    link_address = settings.advertised_link_address or settings.link_address
+    return Member(
+        settings.node,
+        incarnation,
+        settings.zone,
+        settings.region,
+        Address.parse(link_address).host,
+        link_address,
+        settings.advertised_control_address or settings.control_address,
+    )
+
+
 class Node:
     """One pollenglade node; `start`, then `stop_gracefully`, then `close`."""
 
@@ -82,9 +100,14 @@
         fast = random.Random(secure.getrandbits(64))
         self._random = fast
         self._pool = ConnectionPool(max_idle=512)
-        self._http = HttpClient()
+        self._http = HttpClient(ConnectionPool(source_host=settings.source_host))
         platform = Address.parse(settings.platform_url.removeprefix("http://"))
-        self._platform = PlatformClient(platform, settings.zone, fast)
+        self._platform = PlatformClient(
+            platform,
+            settings.zone,
+            fast,
+            client=HttpClient(ConnectionPool(source_host=settings.source_host)),
+        )
         self.ledger = CrashLedger()
         self.serving = Serving(
             f"{settings.node}/{incarnation:x}",
@@ -95,17 +118,8 @@
             self.ledger,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
-        self.links = Links(hello, self.serving)
-        own = Member(
-            settings.node,
-            incarnation,
-            settings.zone,
-            settings.region,
-            Address.parse(settings.link_address).host,
-            settings.link_address,
-            settings.control_address,
-        )
-        self.gossip = Gossip(own, self._http, fast)
+        self.links = Links(hello, self.serving, settings.source_host)
+        self.gossip = Gossip(_own_member(settings, incarnation), self._http, fast)
         self.fleet = Fleet(self.gossip)
         self.presence = Presence(self._platform, lambda: self.fleet.own, fast)
         self.quota = QuotaService(
@@ -117,14 +131,21 @@
             self._platform,
             fast,
         )
-        self.crash_notices = CrashNotices(self.ledger, self.links, self.fleet.nodes_of_service)
+        self.crash_notices = CrashNotices(
+            self.ledger, self.links, self.fleet.nodes_of_service, fast
+        )
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
         self.claims = ClaimService(
-            f"{settings.node}/{incarnation:x}", self._platform, self.fleet.is_process_alive, fast
+            f"{settings.node}/{incarnation:x}",
+            self._platform,
+            self.fleet.is_process_alive,
+            self.links,
+            fast,
         )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
+        self.batches = CountBatches(settings.node, incarnation, self.counter, settings.log_totals_s)
         self.entry = Entry(
             settings.node,
             incarnation,
@@ -137,11 +158,23 @@
             self.counter,
             fast,
         )
+        self.metrics = Metrics(settings.node, settings.zone, self._parts())
         self._caller_server = HttpServer(self.entry.handle)
         self._control = ControlApi()
         self._control_server = HttpServer(async_handler(self._control.handle))
         self._connect_parts()
 
+    def _parts(self) -> Parts:
+        return Parts(
+            self.counter,
+            self.serving,
+            self.quota,
+            self.links,
+            self.configuration,
+            self.fleet,
+            lambda: len(self.entry.open_calls),
+        )
+
     def _limit_of(self, slots: int) -> ConcurrencyLimit:
         if self._settings.concurrency_limit == "none":
             return NoLimit()
@@ -154,6 +187,8 @@
         self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
         self.links.on_peer_drain = self._on_peer_drain
         self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
+        self.links.answer_by_topic[CLAIM_TOPIC] = self.claims.answer_status
+        self.links.answer_by_topic[LEDGER_TOPIC] = self.crash_notices.answer_ledger
         self.serving.notify = self.crash_notices.notify
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
@@ -161,6 +196,7 @@
         self.configuration.on_platform_contact = self._on_platform_contact
         self.presence.live_count = self.fleet.live_count
         self.presence.is_relay = self.fleet.is_relay
+        self.presence.is_sweeper = self.fleet.is_sweeper
         self.presence.on_members = self.gossip.seed
         self.presence.on_renewed = self._on_renewed
         self.gossip.configuration_version = lambda: self.configuration.version
@@ -172,7 +208,8 @@
         add_target_route(self._control, self.serving)
         self._control.add("GET", "/v1/configuration", self.configuration.serve)
         self._control.add("GET", "/v1/status", self._status)
-        self._control.add("GET", "/v1/counts", self._counts)
+        self._control.add("GET", "/v1/counts", self.batches.serve)
+        self._control.add("GET", "/metrics", self.metrics.serve)
         self._control.add("GET", "/health", self._health)
         self._control.add("GET", "/ready", self._ready)
 
@@ -183,17 +220,20 @@
 
     def _on_targets(self) -> None:
         now = monotonic()
-        self.fleet.set_offers(
-            tuple(
-                ServiceOffer(target.service, target.slots)
-                for target in self.serving.targets_by_address.values()
-                if target.is_ready(now)
-            )
+        before = {offer.service for offer in self.fleet.own.offers}
+        offers = tuple(
+            ServiceOffer(target.service, target.slots)
+            for target in self.serving.targets_by_address.values()
+            if target.is_ready(now)
         )
+        for service in {offer.service for offer in offers} - before:
+            self.crash_notices.pull(service)
+        self.fleet.set_offers(offers)
         self.presence.announce_now()
         self._on_fleet()
 
     def _on_fleet(self) -> None:
+        self.fleet.note_offers()
         self.links.peers_by_node = self.fleet.peer_addresses()
         self.router.update(self.fleet.endpoints(), monotonic())
 
@@ -241,6 +281,7 @@
         await self.gossip.start()
         await self.presence.start()
         await self.quota.start()
+        self.batches.start()
         self._expire_targets()
         log.info("node_started", incarnation=self.incarnation)
 
@@ -274,6 +315,8 @@
         """Close all ports and connections."""
         if self._expiry is not None:
             self._expiry.cancel()
+        self.batches.close()
+        self.metrics.close()
         await self.quota.close()
         await self.claims.close()
         await self.presence.close()
@@ -318,10 +361,6 @@
         }
         return json_response(200, document)
 
-    async def _counts(self, request: HttpRequest) -> HttpResponse:
-        document = {"node": self._settings.node, "incarnation": self.incarnation}
-        return json_response(200, document | self.counter.to_wire())
-
     async def _health(self, request: HttpRequest) -> HttpResponse:
         return json_response(200, {"status": "ok"})
 
--- a/packages/pollenglade-node/src/pollenglade_node/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -18,10 +19,12 @@
 from pollenglade_net.platform_api import VersionConflict
 from pollenglade_net.platform_api import Written
 
+from .announcement import TOMBSTONE
 from .announcement import AnnouncedTarget
 from .announcement import NodeAnnouncement
 from .announcement import announcement_from_wire
 from .announcement import row_name
+from .announcement_sweep import sweep
 
 RENEWAL_INTERVAL_S = 10.0
 """Interval of announcements; 880 nodes make 88 writes per second."""
@@ -32,7 +35,8 @@
 """Interval at which a relay reads all announcements.
 
 Gossip cannot join two groups of nodes that know nothing of each other. At 880 nodes one read is
-about 350 KB, which makes 1.2 KB/s for a relay.
+about 350 KB, which makes 1.2 KB/s for a relay. Also the least time for which a row must not have
+changed before it is overwritten.
 """
 
 PREFIX = "nodes/"
@@ -51,6 +55,8 @@
         self._renewal = 0
         self._wake = asyncio.Event()
         self._announced = asyncio.Event()
+        self._version_by_row: dict[str, int] = {}
+        self.is_sweeper: Callable[[], bool] = lambda: False
         self.live_count: Callable[[str], int] = lambda zone: 1
         self.is_relay: Callable[[], bool] = lambda: True
         self.on_members: Callable[[Sequence[Member]], None] = lambda members: None
@@ -101,7 +107,9 @@
         if self.live_count(own.zone) > 1:
             return False
         rows = await self._table.read_prefix(f"{PREFIX}{own.zone}/")
-        return not isinstance(rows, Unavailable) and len(rows) <= 1
+        if isinstance(rows, Unavailable):
+            return False
+        return len([row for row in rows if row.value != TOMBSTONE]) <= 1
 
     async def _seed(self) -> None:
         # Of two nodes that start at the same time, the one that writes its row last reads both.
@@ -111,11 +119,19 @@
             if isinstance(rows, Unavailable):
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            self.on_members(members_from_rows(rows))
+            await self.take(rows)
             await asyncio.sleep(RESEED_INTERVAL_S * self._source.uniform(0.9, 1.1))
             while not self.is_relay():
                 await asyncio.sleep(RESEED_INTERVAL_S)
 
+    async def take(self, rows: Sequence[Row]) -> None:
+        """Seed gossip, and overwrite old rows that have not changed since the last read."""
+        self.on_members(members_from_rows(rows, time.time()))
+        if self.is_sweeper():
+            unchanged = [row for row in rows if self._version_by_row.get(row.name) == row.version]
+            await sweep(self._table, self._own().zone, unchanged, time.time())
+        self._version_by_row = {row.name: row.version for row in rows}
+
     async def close(self) -> None:
         """Stop announcing and reading."""
         for task in self._tasks:
@@ -132,6 +148,7 @@
         region=member.region,
         link_address=member.link_address,
         control_address=member.control_address,
+        announced_at=time.time(),
         renewal=renewal,
         leaving=member.state is MemberState.LEAVING,
         targets=tuple(
@@ -140,10 +157,12 @@
     )
 
 
-def members_from_rows(rows: Sequence[Row]) -> list[Member]:
-    """Return a member entry for each valid row of a node that is not leaving.
+def members_from_rows(rows: Sequence[Row], wall_s: float) -> list[Member]:
+    """Return a member entry for each valid row of a node that is not leaving or gone.
 
-    Their sequence is 0, so that whatever gossip knows of the same process goes first.
+    `wall_s` is the time in seconds since the epoch; it leaves out rows of former nodes. A node with
+    a wrong clock is learned by gossip instead. The sequence of the entries is 0, so that whatever
+    gossip knows of the same process goes first.
     """
     announcements = [announcement_from_wire(row.value) for row in rows]
     return [
@@ -158,5 +177,5 @@
             offers=tuple(ServiceOffer(target.service, target.slots) for target in item.targets),
         )
         for item in announcements
-        if item is not None and not item.leaving
+        if item is not None and not item.leaving and not item.is_stale(wall_s)
     ]
