Measure goodput and waste of the cause, and let the bench raise contracts

Cause: the bench reports goodput over the whole run, so that the cause cannot be read from it, and quota hides the overload: contracts allow 1.5 times the usual load. Goodput in requests also changes with the mix that shedding by importance leaves (a browse needs about a third of the slot time of an apply).

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/bench.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/bench.py
@@ -28,7 +28,8 @@
 def result_table(results: list[BenchResult]) -> str:
     """Return one row per run."""
     rows = [["scenario", "nodes", "seed", "goodput/s", "good", "recover s", "worst", "wrongful"]]
-    rows[0] += ["wasted", "crashes", "wrong", "late p99 ms"]
+    rows[0] += ["wasted", "cause/s", "cause useful", "cause wasted"]
+    rows[0] += ["crashes", "wrong", "late p99 ms", "load"]
     for result in results:
         summary = result.summary
         rows.append(
@@ -42,9 +43,13 @@
                 "-" if summary.worst is None else f"{summary.worst.share:.3f}",
                 f"{summary.wrongful_share:.4f}",
                 f"{summary.wasted_share:.3f}",
+                f"{result.cause_goodput_per_s:.1f}",
+                f"{result.cause_useful_share:.3f}",
+                f"{result.cause_wasted_share:.3f}",
                 str(result.crashes),
                 str(summary.wrong),
                 f"{result.late_p99_s * 1_000:.1f}",
+                f"{result.load_average:.1f}",
             ]
         )
     return table(rows)
@@ -70,6 +75,10 @@
     cause_s: Annotated[float, typer.Option(min=1.0, max=60.0, help="Length of the cause.")] = 20.0,
     after_s: Annotated[float, typer.Option(min=1.0, max=120.0, help="After the cause.")] = 20.0,
     seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
+    contract_factor: Annotated[
+        float, typer.Option(min=1.0, max=100.0, help="Multiple of the contracts.")
+    ] = 1.0,
+    least_burst: Annotated[int, typer.Option(min=1, help="Least burst of a contract.")] = 1,
     output: Annotated[Path, typer.Option(help="Folder for the results.")] = Path("results"),
     node_module: Annotated[str, typer.Option(help="Module that runs a node.")] = NODE_MODULE,
 ) -> None:
@@ -78,7 +87,10 @@
     variants = checked(baseline or ["gradient"], list(BASELINES), "baseline")
     checked([workload], list(DEPLOYMENTS_BY_NAME), "workload")
     settings = BenchSettings(
-        deployment=DEPLOYMENTS_BY_NAME[workload].compact(ZONES, ZONES).scaled(scale),
+        deployment=DEPLOYMENTS_BY_NAME[workload]
+        .compact(ZONES, ZONES)
+        .scaled(scale)
+        .with_contracts(contract_factor, least_burst),
         timing=Timing(before_s, cause_s, after_s),
         seed=seed,
         node_module=node_module,
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/bench_run.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/bench_run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import asdict
 from dataclasses import dataclass
@@ -18,10 +20,15 @@
 from .load import LoadSettings
 from .measures import Summary
 from .measures import goodput_over_time
+from .measures import goodput_per_s
 from .measures import summarise
 from .measures import time_to_recover_s
+from .measures import useful_share
+from .measures import wasted_share
 from .processes import NODE_MODULE
 from .processes import Processes
+from .records import Execution
+from .records import RequestRecord
 from .scenario import Partition
 from .scenario import Scenario
 from .scenario import Timing
@@ -58,7 +65,11 @@
     summary: Summary
     goodput_over_time: list[float]
     recover_s: float | None
+    cause_goodput_per_s: float
+    cause_useful_share: float
+    cause_wasted_share: float
     late_p99_s: float
+    load_average: float
     crashes: int
     poison_calls: int
     faults_found: list[str]
@@ -86,7 +97,9 @@
                 group.create_task(faults.run(settings.timing))
             codes = await processes.stop_all()
         executions = fleet.executions()
+    load_average = os.getloadavg()[0]
     result, timing = running.result(), settings.timing
+    cause = [r for r in result.records if timing.before_s <= r.scheduled_s < timing.end_s]
     # A poisoned call can wait for a slot until after the last restart.
     late = sum(code == POISON_EXIT_CODE for code in codes.values()) if scenario.poison else 0
     expected = (0, POISON_EXIT_CODE) if scenario.poison else (0,)
@@ -101,6 +114,10 @@
         summary=summarise(result.records, executions, organisations, timing.duration_s),
         goodput_over_time=goodput_over_time(result.records, timing.duration_s),
         recover_s=time_to_recover_s(result.records, timing.before_s, timing.end_s),
+        cause_goodput_per_s=goodput_per_s(cause, timing.cause_s),
+        cause_useful_share=useful_share(cause, settings.deployment, timing.before_s, timing.end_s),
+        cause_wasted_share=wasted_share(cause, _executions_of(cause, executions)),
+        load_average=load_average,
         late_p99_s=result.lateness.quantile_s(0.99),
         crashes=faults.crashes + late,
         poison_calls=faults.poison_calls,
@@ -108,6 +125,13 @@
     )
 
 
+def _executions_of(
+    records: Iterable[RequestRecord], executions: Iterable[Execution]
+) -> list[Execution]:
+    ids = {record.request_id for record in records}
+    return [execution for execution in executions if execution.request_id in ids]
+
+
 def _load(settings: BenchSettings, scenario: Scenario, fleet: Fleet) -> Load:
     deployment = settings.deployment
     return Load(
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/measures.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/measures.py
@@ -13,6 +13,7 @@
 
 from .records import Execution
 from .records import RequestRecord
+from .workload import Deployment
 from .workload import Organisation
 
 LOWEST_US = 1
@@ -159,6 +160,29 @@
     return min(candidates, key=lambda worst: (worst.share, worst.organisation), default=None)
 
 
+def useful_share(
+    records: Iterable[RequestRecord], deployment: Deployment, start_s: float, end_s: float
+) -> float:
+    """Return the part of the slots that good requests need, for the service that needs most.
+
+    Shedding by importance changes the mix of requests, and one request can need many times the slot
+    time of another; the share compares goodput across mixes. Only requests due in the given time
+    count, each with its planned mean slot time.
+    """
+    needed_s: dict[str, float] = defaultdict(float)
+    for record in records:
+        if record.good and start_s <= record.scheduled_s < end_s:
+            for name, count in deployment.calls_by_route(
+                deployment.routes_by_name[record.route]
+            ).items():
+                route = deployment.routes_by_name[name]
+                needed_s[route.service] += count * deployment.busy_s(route)
+    return max(
+        needed_s[service.name] / (service.slots * service.endpoints * (end_s - start_s))
+        for service in deployment.services
+    )
+
+
 def goodput_over_time(
     records: Iterable[RequestRecord], duration_s: float, step_s: float = 1.0
 ) -> list[float]:
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/scenario.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/scenario.py
@@ -97,6 +97,7 @@
     for scenario in (
         Scenario("calm"),
         Scenario("slow-service", slow=True),
+        Scenario("surge-2", surge_of_all(2.0)),
         Scenario("surge-3", surge_of_all(3.0)),
         Scenario("surge-10", surge_of_all(10.0)),
         Scenario("noisy-neighbour", surge_of_one),
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
@@ -173,6 +173,22 @@
         )
         return replace(self, services=tuple(services), organisations=tuple(organisations))
 
+    def with_contracts(self, factor: float, least_burst: int) -> Deployment:
+        """Return the deployment with rates and bursts times `factor` and a least burst.
+
+        Overload shows only where the contracts admit it, and the share of a zone in a small burst
+        can refuse calls that are within the whole.
+        """
+        raised = (
+            replace(
+                organisation,
+                rate_per_s=math.ceil(organisation.rate_per_s * factor),
+                burst=max(least_burst, math.ceil(organisation.burst * factor)),
+            )
+            for organisation in self.organisations
+        )
+        return replace(self, organisations=tuple(raised))
+
     def compact(self, zones: int, endpoints: int) -> Deployment:
         """Return the deployment with fewer zones and endpoints and the same slots in total."""
         services = (
--- a/packages/pollenglade-emulator/tests/test_emulator/test_measures.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_measures.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenglade_emulator.deployments import RESIDENCIES
 from pollenglade_emulator.measures import LatencyHistogram
 from pollenglade_emulator.measures import ReferenceBucket
 from pollenglade_emulator.measures import summarise
 from pollenglade_emulator.measures import time_to_recover_s
+from pollenglade_emulator.measures import useful_share
 from pollenglade_emulator.measures import wasted_share
 from pollenglade_emulator.measures import worst_served
 from pollenglade_emulator.measures import wrongful_refusals
@@ -53,6 +56,16 @@
             admitted += bucket.conforms(at_s)
             self.assertLessEqual(admitted, burst + rate * at_s + 1e-6)
 
+    def test_useful_share_does_not_depend_on_the_mix(self) -> None:
+        """Serving only short requests would look like more goodput with the same slots in use."""
+        browse, apply = (RESIDENCIES.routes_by_name[name] for name in ("browse", "apply"))
+        ratio = RESIDENCIES.busy_s(apply) / RESIDENCIES.busy_s(browse)
+        short = [record(n, 0.5) for n in range(round(1_000 * ratio))]
+        long = [replace(record(n, 0.5), route="apply") for n in range(1_000)]
+        shares = [useful_share(entries, RESIDENCIES, 0.0, 1.0) for entries in (short, long)]
+        self.assertAlmostEqual(shares[0], shares[1], delta=0.01 * shares[0])
+        self.assertEqual(0.0, useful_share(long, RESIDENCIES, 1.0, 2.0))
+
     def test_organisation_above_its_rate_is_not_the_worst_served(self) -> None:
         """Refusing a noisy organisation is correct and must not count against the run."""
         noisy = [record(n, n * 0.01, good=n % 10 == 0) for n in range(1_000)]
