Let a lone holder stop like any other

Cause: a holder whose zone listed no other node kept granting without the platform. A node that joins meanwhile takes the slot over after 30 s, and both grant.

Ruled out: an exception that ends when a peer is heard, because a cut off holder hears nobody.

Change: the exception is dropped, with the read of all announcements of the zone that only it needed. A zone with one node refuses its shares after 20 s without the platform.

--- a/packages/pollenglade-core/src/pollenglade_core/granting_bucket.py
+++ b/packages/pollenglade-core/src/pollenglade_core/granting_bucket.py
@@ -12,8 +12,8 @@
 PREFETCH_MIN_BURST = 16
 """A smaller bucket grants nothing in advance.
 
-One token held by an idle borrower is a large part of it: at rate 20 and burst 5 prefetch refused 3 %
-of the calls within the rate. Without it every call of such a contract waits for a round trip.
+One token held by an idle borrower is a large part of it: at rate 20 and burst 5 prefetch refused
+3 % of the calls within the rate. Without it every call of such a contract waits for a round trip.
 """
 
 LIFETIME_TICKS = int(GRANT_LIFETIME_S * TICKS_PER_S)
--- a/packages/pollenglade-core/src/pollenglade_core/lease.py
+++ b/packages/pollenglade-core/src/pollenglade_core/lease.py
@@ -89,9 +89,9 @@
         """Return whether no row can name this process any more."""
         return not any(lease.may_be_own for lease in self._leases_by_slot.values())
 
-    def on_renewed(self, requested_at: float, alone: bool, now: float) -> None:
+    def on_renewed(self, requested_at: float, now: float) -> None:
         """Take a successful write of the own announcement."""
-        self._evidence.on_renewed(requested_at, alone, now)
+        self._evidence.on_renewed(requested_at, now)
         self._evidence.on_zone_contact(0.0, now)
 
     def on_peer_heard(self, now: float) -> None:
--- a/packages/pollenglade-core/src/pollenglade_core/lease_evidence.py
+++ b/packages/pollenglade-core/src/pollenglade_core/lease_evidence.py
@@ -63,13 +63,12 @@
     def __init__(self) -> None:
         self.generation = 0
         self._renewed_at: float | None = None
-        self._alone = False
         self._zone_contact_at: float | None = None
         self._heard_at = 0.0
         self._was_isolated = True
 
-    def on_renewed(self, requested_at: float, alone: bool, now: float) -> None:
-        """Take a successful renewal; `alone` if the platform lists no other node of the zone.
+    def on_renewed(self, requested_at: float, now: float) -> None:
+        """Take a successful renewal.
 
         After a gap in which a takeover was possible a new generation begins: each slot has to be
         confirmed by a write, since a takeover may be under way.
@@ -79,7 +78,6 @@
         if self._renewed_at is None or now - self._renewed_at >= SPEND_S:
             self.generation += 1
         self._renewed_at = requested_at
-        self._alone = alone
         self._was_isolated = False
         self._heard_at = now
 
@@ -109,8 +107,7 @@
         if now - self._renewed_at < SPEND_S:
             return True
         self._note_silence(now)
-        if self._alone:
-            return True
+        # A lone holder stops as well: a node that joins meanwhile may take over unnoticed.
         return not self._was_isolated and not self._zone_had_contact()
 
     def may_claim(self, now: float) -> bool:
--- a/packages/pollenglade-core/tests/test_core/quota_fleet.py
+++ b/packages/pollenglade-core/tests/test_core/quota_fleet.py
@@ -222,11 +222,11 @@
         self.announcements[host.name] = (host.incarnation, version + 1)
 
     def _renew(self, host: Host) -> None:
-        requested_at, alone = self.clock(host), not self._peers(host)
+        requested_at = self.clock(host)
         self._ask_platform(
             host,
             partial(self._announce, host),
-            lambda _: host.leases.on_renewed(requested_at, alone, self.clock(host)),
+            lambda _: host.leases.on_renewed(requested_at, self.clock(host)),
             lambda: None,
         )
 
--- a/packages/pollenglade-core/tests/test_core/test_lease.py
+++ b/packages/pollenglade-core/tests/test_core/test_lease.py
@@ -39,8 +39,8 @@
 class HolderFailure:
     """A zone under constant overload in which the holder of the only slot fails."""
 
-    def __init__(self, seed: int) -> None:
-        self.fleet = Fleet(seed, {"a": 3}, {ACCOUNT: (RATE, BURST)}, HoardingBorrower)
+    def __init__(self, seed: int, hosts: int = 3) -> None:
+        self.fleet = Fleet(seed, {"a": hosts}, {ACCOUNT: (RATE, BURST)}, HoardingBorrower)
         self.fleet.run(20.0)
         self.load(2.0)
         holder = self.fleet.holder_of("a", ACCOUNT)
@@ -121,6 +121,21 @@
         self.assertEqual(0, failure.excess())
         self.assertEqual(1, len(failure.granting()))
 
+    @settings(max_examples=5)
+    @given(SEEDS, st.booleans())
+    def test_lone_holder_stops_when_a_node_may_have_joined(self, seed: int, cut: bool) -> None:
+        """A node that joins while the lone holder is cut off takes over without its knowledge."""
+        failure = HolderFailure(seed, hosts=1)
+        failure.holder.without_platform = True
+        failure.load(5.0)
+        failure.fleet.start("a1", 1)
+        failure.fleet.hosts["a1"].isolated = cut
+        failure.load(20.0)
+        failure.fleet.hosts["a1"].isolated = False
+        failure.load(50.0)
+        self.assertEqual(0, failure.excess())
+        self.assertEqual(1, len(failure.granting()))
+
 
 class RulesTest(unittest.TestCase):
     @given(st.floats(0, 1e6), st.floats(0, 0.999))
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -159,7 +159,6 @@
         self.configuration.on_change = self._on_configuration
         self.configuration.is_relay = self._polls_platform
         self.configuration.on_platform_contact = self._on_platform_contact
-        self.presence.live_count = self.fleet.live_count
         self.presence.is_relay = self.fleet.is_relay
         self.presence.on_members = self.gossip.seed
         self.presence.on_renewed = self._on_renewed
@@ -201,8 +200,8 @@
         self.fleet.on_peer_drain(node, incarnation)
         self._on_fleet()
 
-    def _on_renewed(self, requested_at: float, alone: bool) -> None:
-        self.quota.leases.on_renewed(requested_at, alone, monotonic())
+    def _on_renewed(self, requested_at: float) -> None:
+        self.quota.leases.on_renewed(requested_at, monotonic())
 
     def _on_platform_contact(self, requested_at: float) -> None:
         now = monotonic()
--- a/packages/pollenglade-node/src/pollenglade_node/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/presence.py
@@ -51,10 +51,9 @@
         self._renewal = 0
         self._wake = asyncio.Event()
         self._announced = asyncio.Event()
-        self.live_count: Callable[[str], int] = lambda zone: 1
         self.is_relay: Callable[[], bool] = lambda: True
         self.on_members: Callable[[Sequence[Member]], None] = lambda members: None
-        self.on_renewed: Callable[[float, bool], None] = lambda requested_at, alone: None
+        self.on_renewed: Callable[[float], None] = lambda requested_at: None
 
     async def start(self) -> None:
         """Start to announce, and to read once the own row is written."""
@@ -94,15 +93,9 @@
             return False
         self._row_version = result.version
         self._announced.set()
-        self.on_renewed(requested_at, await self._is_alone(own))
+        self.on_renewed(requested_at)
         return True
 
-    async def _is_alone(self, own: Member) -> bool:
-        if self.live_count(own.zone) > 1:
-            return False
-        rows = await self._table.read_prefix(f"{PREFIX}{own.zone}/")
-        return not isinstance(rows, Unavailable) and len(rows) <= 1
-
     async def _seed(self) -> None:
         # Of two nodes that start at the same time, the one that writes its row last reads both.
         await self._announced.wait()
