--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -155,6 +155,7 @@
         # stop of a broken deployment can take as long as its drain limit.
         await self.stop_all(0.5 if kind is not None else STOP_TIMEOUT_S)
         await self._client.close()
+        self._ports.close()
 
     def free_address(self, host: str = LOOPBACK) -> Address:
         """Return a loopback address that nothing listens on."""
--- a/packages/pollenglade-emulator/tests/test_emulator/test_zone_relay.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_zone_relay.py
@@ -26,6 +26,7 @@
         upstream = await asyncio.start_server(echo, "127.0.0.1", 0)
         self.addCleanup(upstream.close)
         ports = PortPool()
+        self.addCleanup(ports.close)
         self.port_by_zone = {zone: ports.take() for zone in ZONES}
         for zone, port in self.port_by_zone.items():
             address = f"127.0.0.1:{upstream.sockets[0].getsockname()[1]}"
