Recognise a crash whose listener outlives its connections

Cause 1: the probe after a broken connection could still reach the listener of a process that was exiting, so that the crash was not counted; in the trace a2 logged no target_crashed for a poisoned call that ended its process. Cause 2: a node whose offer had not reached its peers yet was told nothing of crashes in that time; in the trace b1 joined 0.1 s before and ran a third one 3 s later. Ruled out: taking a closed probe connection for a crash, since a draining server closes idle connections as well. Change: a target that accepts is probed once more after 50 ms; notices are repeated to a node that is seen to offer a service for the first time, also after it has started again. Remaining window: a node whose offer no peer has heard of yet.

--- a/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from time import monotonic
 
@@ -48,12 +49,22 @@
         for node in self._source.sample(nodes, min(LEDGER_PEERS, len(nodes))):
             self._links.ask_node(node, LEDGER_TOPIC, [], self._merge)
 
+    def tell_new(self, nodes: Iterable[str]) -> None:
+        """Repeat the notices to nodes that were not known to offer a service before."""
+        notices = self._known()
+        for node in nodes:
+            if notices and node != self._links.hello.node:
+                self._links.ask_node(node, CRASH_TOPIC, notices_to_wire(notices), self._merge)
+
+    def _known(self) -> list[CrashNotice]:
+        return self._ledger.notices(monotonic())[-MAX_LEDGER_NOTICES:]
+
     def _merge(self, answer: object) -> None:
         self._ledger.merge(notices_from_wire(answer), monotonic())
 
     def answer_ledger(self, payload: object, answer: Callable[[object], None]) -> None:
         """Answer with all that is known about crashes."""
-        answer(notices_to_wire(self._ledger.notices(monotonic())[-MAX_LEDGER_NOTICES:]))
+        answer(notices_to_wire(self._known()))
 
     async def notify(self, service: str, notices: list[CrashNotice]) -> None:
         """Send notices to every node of a service and return once all have answered."""
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -26,7 +26,7 @@
     def __init__(self, gossip: Gossip) -> None:
         self._gossip = gossip
         self._draining_by_node: dict[str, int] = {}
-        self._nodes_by_service: dict[str, set[str]] = {}
+        self._incarnations_by_service: dict[str, dict[str, int]] = {}
 
     @property
     def own(self) -> Member:
@@ -50,11 +50,19 @@
         """Number of nodes that are believed to run."""
         return len(self._gossip.table.live())
 
-    def note_offers(self) -> None:
-        """Remember which nodes offer each service."""
+    def note_offers(self) -> set[str]:
+        """Remember which nodes offer each service; return those that offer one for the first time.
+
+        A node that starts again counts as new, because it has lost what it knew.
+        """
+        found: set[str] = set()
         for member in self._gossip.table.live():
             for offer in member.offers:
-                self._nodes_by_service.setdefault(offer.service, set()).add(member.node)
+                incarnations = self._incarnations_by_service.setdefault(offer.service, {})
+                if incarnations.get(member.node) != member.incarnation:
+                    incarnations[member.node] = member.incarnation
+                    found.add(member.node)
+        return found
 
     def nodes_of_service(self, service: str) -> Sequence[str]:
         """Return the live nodes that offer a service or have offered it.
@@ -62,7 +70,7 @@
         A node whose target has just crashed offers nothing until the target has started again, and
         has to hear of further crashes meanwhile.
         """
-        known = self._nodes_by_service.get(service, set())
+        known = self._incarnations_by_service.get(service, {})
         return [member.node for member in self._gossip.table.live() if member.node in known]
 
     def is_process_alive(self, process: str) -> bool:
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -209,8 +209,8 @@
         self._on_fleet()
 
     def _on_fleet(self) -> None:
-        self.fleet.note_offers()
         self.links.peers_by_node = self.fleet.peer_addresses()
+        self.crash_notices.tell_new(self.fleet.note_offers())
         self.router.update(self.fleet.endpoints(), monotonic())
 
     def _on_peer_drain(self, node: str, incarnation: int) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving.py
@@ -38,6 +38,11 @@
 """Time that a call waits for other nodes to acknowledge a crash notice."""
 
 CRASH_PROBE_TIMEOUT_S = 0.25
+CRASH_PROBE_DELAYS_S = (0.0, 0.05)
+"""Pauses before the probes of a target whose connection broke.
+
+While a process exits, its listener can still accept for a moment after its connections broke.
+"""
 
 log = structlog.get_logger()
 
@@ -198,9 +203,7 @@
         await asyncio.shield(probe)
 
     async def _probe_crash(self, target: Target) -> None:
-        connection = await self.pool.connect(target.address, CRASH_PROBE_TIMEOUT_S)
-        if not isinstance(connection, HttpFailure):
-            connection.abort()
+        if await self._accepts(target):
             return
         if target.state is not TargetState.GONE:
             target.state = TargetState.GONE
@@ -212,6 +215,15 @@
         log.warning("target_crashed", service=target.service, calls_in_flight=len(notices))
         await self.share(target.service, notices)
 
+    async def _accepts(self, target: Target) -> bool:
+        for delay_s in CRASH_PROBE_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            connection = await self.pool.connect(target.address, CRASH_PROBE_TIMEOUT_S)
+            if isinstance(connection, HttpFailure):
+                return False
+            connection.abort()
+        return True
+
     async def share(self, service: str, notices: list[CrashNotice]) -> None:
         """Send crash notices to the other nodes of a service and wait for them for a short time."""
         if not notices:
