Stop the node by the drain state machine of the core

Cause: the node had its own copy of the drain rules, and the state machine of the core, which the property tests check, was not used. The state machine ended a node after the linger time although a call that arrived meanwhile was running. Change: the node carries out the actions of Drain; a lingering node ends only without running calls or at the limit; one test for that case, one more assertion in the property test.

--- a/packages/pollenglade-core/src/pollenglade_core/drain.py
+++ b/packages/pollenglade-core/src/pollenglade_core/drain.py
@@ -93,7 +93,9 @@
 class Drain:
     """The stop of one node: serving, leaving, lingering, closed.
 
-    The node leaves until no call runs or the drain limit has passed, and then lingers.
+    The node leaves until no call runs or the drain limit has passed, and then lingers. A caller
+    that has not heard of the stop may still send a call while the node lingers; the node ends only
+    after that call, or at the limit.
     """
 
     def __init__(self, linger_s: float = MIN_LINGER_S, limit_s: float = DRAIN_LIMIT_S) -> None:
@@ -102,6 +104,8 @@
         self._limit_s = limit_s
         self._running = 0
         self._wake_at: float | None = None
+        self._limit_at = 0.0
+        self._linger_until = 0.0
 
     @property
     def wake_at(self) -> float | None:
@@ -117,23 +121,31 @@
                 return self._leave(now)
             case DrainState.LEAVING if self._running == 0 or self._is_due(now):
                 return self._linger(now)
-            case DrainState.LINGERING if self._is_due(now):
-                self.state = DrainState.CLOSED
-                self._wake_at = None
-                return [CloseIdleConnections(), Exit()]
+            case DrainState.LINGERING:
+                return self._exit_if_finished(now)
         return []
 
     def _leave(self, now: float) -> list[DrainAction]:
         self.state = DrainState.LEAVING
-        self._wake_at = now + self._limit_s
+        self._wake_at = self._limit_at = now + self._limit_s
         actions: list[DrainAction] = [RefuseNew(), AnnounceLeaving(), SendDrainOnLinks()]
         return actions + (self._linger(now) if self._running == 0 else [])
 
     def _linger(self, now: float) -> list[DrainAction]:
         self.state = DrainState.LINGERING
-        self._wake_at = now + self._linger_s
+        self._wake_at = self._linger_until = now + self._linger_s
         return [CloseIdleConnections()]
 
+    def _exit_if_finished(self, now: float) -> list[DrainAction]:
+        if now < self._linger_until:
+            return []
+        if self._running and now < self._limit_at:
+            self._wake_at = self._limit_at
+            return []
+        self.state = DrainState.CLOSED
+        self._wake_at = None
+        return [CloseIdleConnections(), Exit()]
+
     def _is_due(self, now: float) -> bool:
         return self._wake_at is not None and now >= self._wake_at
 
--- a/packages/pollenglade-core/tests/test_core/test_drain.py
+++ b/packages/pollenglade-core/tests/test_core/test_drain.py
@@ -49,6 +49,7 @@
                 self.assertEqual(DrainState.LINGERING, before)
                 earliest = min(free_at, asked + DRAIN_LIMIT_S) + MIN_LINGER_S
                 self.assertGreaterEqual(now, earliest)
+                self.assertTrue(running == 0 or now >= asked + DRAIN_LIMIT_S)
             if asked is not None and running == 0:
                 free_at = min(free_at, now)
         while drain.wake_at is not None:
@@ -68,6 +69,14 @@
         self.assertEqual([], drain.handle(Tick(), DRAIN_LIMIT_S + 2.8))
         self.assertIn(Exit(), drain.handle(Tick(), DRAIN_LIMIT_S + 2.9))
 
+    def test_call_that_arrives_while_lingering_is_finished(self) -> None:
+        """A caller that has not heard of the stop must not lose its call at the end."""
+        drain = Drain()
+        drain.handle(StopRequested(), 0.0)
+        drain.handle(RunningCalls(1), MIN_LINGER_S - 0.1)
+        self.assertEqual([], drain.handle(Tick(), MIN_LINGER_S + 5.0))
+        self.assertIn(Exit(), drain.handle(RunningCalls(0), MIN_LINGER_S + 6.0))
+
 
 class TargetDrainTest(unittest.TestCase):
     @given(st.integers(0, 3), st.booleans())
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -5,12 +5,21 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from time import monotonic
 
 import structlog
 
 from pollenglade_core.call_handles import CallHandles
 from pollenglade_core.configuration import Configuration
+from pollenglade_core.drain import AnnounceLeaving
+from pollenglade_core.drain import Drain
+from pollenglade_core.drain import DrainAction
+from pollenglade_core.drain import DrainState
+from pollenglade_core.drain import RefuseNew
+from pollenglade_core.drain import RunningCalls
+from pollenglade_core.drain import SendDrainOnLinks
+from pollenglade_core.drain import StopRequested
 from pollenglade_core.limit import ConcurrencyLimit
 from pollenglade_core.limit import FixedLimit
 from pollenglade_core.limit import GradientLimit
@@ -56,9 +65,6 @@
 from .serving import Serving
 from .settings import NodeSettings
 
-MIN_LINGER_S = 3.0
-"""Time that a leaving node keeps answering, so that every peer has heard that it leaves."""
-
 RELEASE_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 TARGET_EXPIRY_INTERVAL_S = 0.5
@@ -292,23 +298,36 @@
         """Refuse new work, tell all peers, let running calls end, release what is held."""
         log.info("node_draining")
         started_at = monotonic()
-        self.serving.draining = True
-        self.fleet.set_leaving()
-        self.presence.announce_now()
-        self.links.send_drain()
-        self._caller_server.drain()
-        self._on_fleet()
+        drain = Drain(limit_s=self._settings.drain_limit_s)
+        drain.handle(RunningCalls(self._running_calls()), started_at)
+        self._carry_out(drain.handle(StopRequested(), started_at))
         await self.gossip.tell_all(self._settings.zone)
         await self.quota.release(RELEASE_TIMEOUT_S)
-        while not self._is_drained(monotonic() - started_at):
+        while drain.state is not DrainState.CLOSED:
             await asyncio.sleep(DRAIN_POLL_S)
+            self._carry_out(drain.handle(RunningCalls(self._running_calls()), monotonic()))
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
-    def _is_drained(self, elapsed_s: float) -> bool:
-        if elapsed_s >= self._settings.drain_limit_s:
-            return True
-        busy = self.entry.open_calls or self.serving.calls_by_id or self.links.is_busy
-        return elapsed_s >= MIN_LINGER_S and not busy
+    def _carry_out(self, actions: Sequence[DrainAction]) -> None:
+        """Carry out drain actions; the caller of `close` takes the last two.
+
+        Idle connections are closed with the listener, after the linger time: a caller may be about
+        to use one.
+        """
+        for action in actions:
+            if isinstance(action, RefuseNew):
+                self.serving.draining = True
+                self._caller_server.drain()
+            elif isinstance(action, AnnounceLeaving):
+                self.fleet.set_leaving()
+                self.presence.announce_now()
+                self._on_fleet()
+            elif isinstance(action, SendDrainOnLinks):
+                self.links.send_drain()
+
+    def _running_calls(self) -> int:
+        links = 1 if self.links.is_busy else 0
+        return len(self.entry.open_calls) + len(self.serving.calls_by_id) + links
 
     async def close(self) -> None:
         """Close all ports and connections."""
