Close links whose handshake gets no answer

Cause: a link that connected and heard no hello within 250 ms was left open, so that each attempt during a partition used up a file descriptor for good. Ruled out: counting at the relay, which holds the end of a silent connection as a partition does and therefore shows no difference (93 and 95 open). Change: Links aborts such a link. The test counts the open files of the entry node before and during a partition.

--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -169,6 +169,7 @@
         peer = self.peers_by_node.get(node)
         if peer is None:
             return None
+        link: Link | None = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
@@ -179,6 +180,8 @@
                 )
                 await link.ready
         except (OSError, TimeoutError):
+            if link is not None:
+                link.close("no answer to the handshake", abort=True)
             return None
         if link.peer is None or link.peer.node != node:
             link.close("the peer is another node")
--- a/tests/test_system/test_silent_connections.py
+++ b/tests/test_system/test_silent_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from pathlib import Path
 
 import orjson
 from support.zoned_fleet import SERVICE
@@ -20,6 +21,9 @@
 """Deadline of a path without a rule: the one timeout that a call may cost."""
 
 SLACK_S = 1.0
+IN_PROGRESS = 10
+"""Platform requests, probes and one handshake of each node that may be waiting at a time."""
+
 SLOW_S = 0.5
 """A call takes about 20 ms; one that met a silent connection takes longer than this."""
 
@@ -43,6 +47,18 @@
         await proxy.close()
         self.check(seen, times_s)
 
+    async def test_links_without_an_answer_are_closed(self) -> None:
+        """Handshakes of a long partition that stay open use up the file descriptors."""
+        fleet = await self.start(("a1", "b1"), ("b1",))
+        before = open_files(fleet)
+        await fleet.network.isolate("b")
+        # Up to its declared death the calls try to reach the only target.
+        await asyncio.gather(*(calls_one_by_one(fleet) for _ in range(2)))
+        await asyncio.sleep(1.0)
+        after = open_files(fleet)
+        print(f"{before} files open before the partition, {after} in it")
+        self.assertLessEqual(after, before + IN_PROGRESS)
+
     def check(self, seen: Counter[str], times_s: list[float]) -> None:
         """At most one of the calls meets the silent connection, and it waits once."""
         print(dict(seen), [round(time_s, 2) for time_s in times_s if time_s > SLOW_S])
@@ -52,6 +68,11 @@
         self.assertGreater(max(times_s), SLOW_S, "no call met the silent connection")
 
 
+def open_files(fleet: ZonedFleet) -> int:
+    """Return the number of open file descriptors of the entry node."""
+    return len(list(Path(f"/proc/{fleet.nodes['a1'].process.pid}/fd").iterdir()))
+
+
 async def calls_one_by_one(fleet: ZonedFleet) -> tuple[Counter[str], list[float]]:
     """Send calls one after another; return what callers saw and how long each call took."""
     loop = asyncio.get_running_loop()
