--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
 from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import suspect_runner
 from pollenglade_core.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
@@ -73,11 +75,14 @@
         self._attempt: Attempt | None = None
         self._route: Route | None = None
         self._attempt_started_at = 0.0
+        self._target_s = 0.0
+        self._status = 0
         self._lent = 0
         self._reroutes = 0
         self._excluded: set[str] = set()
         self._collected: _Collected | None = None
         self._uncredited = 0
+        self._may_have_run = False
 
     def run(self) -> None:
         """Send the first attempt."""
@@ -90,9 +95,7 @@
         if context.remaining_s(now) <= 0.0:
             self.finish_refused(Refusal(Reason.DEADLINE, detail="the deadline has passed"))
             return
-        route = self._entry.router.pick(
-            context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        route = self._pick(now)
         if isinstance(route, Refusal):
             self.finish_refused(route)
             return
@@ -106,14 +109,27 @@
             return
         self._start_attempt(route, now)
 
+    def _pick(self, now: float) -> Route | Refusal:
+        context = self.context
+        excluded = frozenset(self._excluded)
+        if self._entry.is_suspect(context, now):
+            # All entry nodes send a suspected call to the same node, which runs one at a time.
+            nodes = self._entry.router.usable_nodes(context.service, now) - excluded
+            runner = suspect_runner(context.fingerprint, nodes)
+            if runner is not None:
+                others = self._entry.router.usable_nodes(context.service, now) - {runner}
+                excluded = excluded | others
+        return self._entry.router.pick(context.service, now, excluded, self._entry.source)
+
     def _start_attempt(self, route: Route, now: float) -> None:
         node = route.node
         self._route = route
         self._attempt_started_at = now
         self._entry.router.on_start(route)
-        # One attempt stays here, because a lost response takes the lent share with it.
+        # One attempt stays here, because a lost response takes the lent share with it. The last one
+        # travels on, so that the node nearest to a failing target has it.
         allowance = self.context.allowance
-        self._lent = max(0, allowance.remaining - 1)
+        self._lent = allowance.remaining - 1 if allowance.remaining > 1 else allowance.remaining
         allowance.remaining -= self._lent
         attempt_context = self.context.with_allowance(RetryAllowance(self._lent))
         sent = self._entry.dispatcher.send(node, attempt_context, self.request, self)
@@ -132,6 +148,7 @@
         self._route = None
         self._attempt = None
         self.context.allowance.give_back(feedback.unspent, self._lent)
+        self._target_s += feedback.target_s
         level = AdmissionLevel(
             Importance(min(max(feedback.level, 0), max(Importance))), feedback.level_fraction
         )
@@ -152,6 +169,7 @@
         if self.on_result is not None:
             self._collected = _Collected(status, headers)
             return
+        self._status = status
         self._exchange.on_drained = self._on_drained
         self._exchange.start(status, [*headers, OUTCOME_RAN])
 
@@ -181,7 +199,7 @@
         if collected is not None:
             self.finish(collected.status, collected.headers, b"".join(collected.parts))
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(self._status)
         self._close(self.context.allowance.remaining)
         self._exchange.end()
 
@@ -231,6 +249,7 @@
         now = monotonic()
         self._entry.router.on_failure(route, now, now - self._attempt_started_at)
         self._excluded.add(route.node)
+        self._may_have_run = True
         repeatable = self.context.idempotent and refusal.reason is not Reason.TIMEOUT
         if refusal.reason is Reason.TARGET_FAILED:
             repeatable = repeatable and self.context.crash_count == 0
@@ -247,9 +266,7 @@
     def _resend(self, refusal: Refusal) -> None:
         self.context.call_id = self._entry.next_call_id()
         now = monotonic()
-        available = self._entry.router.pick(
-            self.context.service, now, frozenset(self._excluded), self._entry.source
-        )
+        available = self._pick(now)
         if isinstance(available, Refusal):
             # The reason of the attempt says more than the lack of a further node.
             self.finish_refused(refusal)
@@ -264,7 +281,7 @@
             callback, self.on_result = self.on_result, None
             callback(status, headers, body, None)
             return
-        self._count(Outcome.RAN, None)
+        self._count_ran(status)
         self._close(self.context.allowance.remaining)
         self._exchange.respond(status, [*headers, OUTCOME_RAN], body)
 
@@ -272,6 +289,9 @@
         """Answer at once with a refusal."""
         if not self.is_open:
             return
+        if self._may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            # The refusal is about the last attempt; an earlier one had reached a target.
+            refusal = replace(refusal, outcome=Outcome.UNKNOWN)
         if self.on_result is not None:
             callback, self.on_result = self.on_result, None
             callback(0, [], b"", refusal)
@@ -300,9 +320,13 @@
         self._count(Outcome.UNKNOWN, Reason.CANCELLED)
         self._close(None)
 
-    def _count(self, outcome: Outcome, reason: Reason | None) -> None:
+    def _count_ran(self, status: int) -> None:
+        elapsed_s = monotonic() - self.started_at
+        self._entry.counter.ran(self.context, status, elapsed_s, self._target_s)
+
+    def _count(self, outcome: Outcome, reason: Reason) -> None:
         elapsed_s = monotonic() - self.started_at
-        self._entry.counter.finished(self.context, outcome, reason, elapsed_s)
+        self._entry.counter.failed(self.context, outcome, reason, elapsed_s)
 
     def _close(self, unspent: int | None) -> None:
         self.is_open = False
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -85,6 +85,11 @@
         nodes = sorted(self.live_nodes(own.zone), key=_rank)
         return own.node in nodes[:RELAYS_PER_ZONE]
 
+    def is_sweeper(self) -> bool:
+        """Return whether this node overwrites old announcements of its zone."""
+        own = self.own
+        return own.node == min(self.live_nodes(own.zone), key=_rank, default="")
+
     def endpoints(self) -> list[Endpoint]:
         """Return the endpoints of all services."""
         return [
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -34,10 +34,12 @@
 from pollenglade_net.platform_client import PlatformClient
 
 from .call_counter import CallCounter
+from .claim_service import CLAIM_TOPIC
 from .claim_service import ClaimService
 from .configuration_sync import ConfigurationSync
 from .control import ControlApi
 from .control import add_target_route
+from .count_batches import CountBatches
 from .crash_notices import CRASH_TOPIC
 from .crash_notices import LEDGER_TOPIC
 from .crash_notices import CrashNotices
@@ -45,6 +47,8 @@
 from .fleet import Fleet
 from .gossip import Gossip
 from .links import Links
+from .metrics import Metrics
+from .metrics import Parts
 from .presence import Presence
 from .quota_service import ASK_TOPIC
 from .quota_service import SETTLE_TOPIC
@@ -133,10 +137,15 @@
         store = ConfigurationStore(self._platform, self._platform, fast)
         self.configuration = ConfigurationSync(store, self._http, fast)
         self.claims = ClaimService(
-            f"{settings.node}/{incarnation:x}", self._platform, self.fleet.is_process_alive, fast
+            f"{settings.node}/{incarnation:x}",
+            self._platform,
+            self.fleet.is_process_alive,
+            self.links,
+            fast,
         )
         self.router = Router(settings.zone)
         self.counter = CallCounter()
+        self.batches = CountBatches(settings.node, incarnation, self.counter, settings.log_totals_s)
         self.entry = Entry(
             settings.node,
             incarnation,
@@ -149,11 +158,23 @@
             self.counter,
             fast,
         )
+        self.metrics = Metrics(settings.node, settings.zone, self._parts())
         self._caller_server = HttpServer(self.entry.handle)
         self._control = ControlApi()
         self._control_server = HttpServer(async_handler(self._control.handle))
         self._connect_parts()
 
+    def _parts(self) -> Parts:
+        return Parts(
+            self.counter,
+            self.serving,
+            self.quota,
+            self.links,
+            self.configuration,
+            self.fleet,
+            lambda: len(self.entry.open_calls),
+        )
+
     def _limit_of(self, slots: int) -> ConcurrencyLimit:
         if self._settings.concurrency_limit == "none":
             return NoLimit()
@@ -166,14 +187,15 @@
         self.links.answer_by_topic[SETTLE_TOPIC] = self.quota.answer_settle
         self.links.on_peer_drain = self._on_peer_drain
         self.links.answer_by_topic[CRASH_TOPIC] = self.crash_notices.answer
+        self.links.answer_by_topic[CLAIM_TOPIC] = self.claims.answer_status
         self.links.answer_by_topic[LEDGER_TOPIC] = self.crash_notices.answer_ledger
         self.serving.notify = self.crash_notices.notify
         self.serving.on_targets_changed = self._on_targets
         self.configuration.on_change = self._on_configuration
         self.configuration.is_relay = self._polls_platform
         self.configuration.on_platform_contact = self._on_platform_contact
-        self.presence.live_count = self.fleet.live_count
         self.presence.is_relay = self.fleet.is_relay
+        self.presence.is_sweeper = self.fleet.is_sweeper
         self.presence.on_members = self.gossip.seed
         self.presence.on_renewed = self._on_renewed
         self.gossip.configuration_version = lambda: self.configuration.version
@@ -185,7 +207,8 @@
         add_target_route(self._control, self.serving)
         self._control.add("GET", "/v1/configuration", self.configuration.serve)
         self._control.add("GET", "/v1/status", self._status)
-        self._control.add("GET", "/v1/counts", self._counts)
+        self._control.add("GET", "/v1/counts", self.batches.serve)
+        self._control.add("GET", "/metrics", self.metrics.serve)
         self._control.add("GET", "/health", self._health)
         self._control.add("GET", "/ready", self._ready)
 
@@ -217,8 +240,8 @@
         self.fleet.on_peer_drain(node, incarnation)
         self._on_fleet()
 
-    def _on_renewed(self, requested_at: float, alone: bool) -> None:
-        self.quota.leases.on_renewed(requested_at, alone, monotonic())
+    def _on_renewed(self, requested_at: float) -> None:
+        self.quota.leases.on_renewed(requested_at, monotonic())
 
     def _on_platform_contact(self, requested_at: float) -> None:
         now = monotonic()
@@ -257,6 +280,7 @@
         await self.gossip.start()
         await self.presence.start()
         await self.quota.start()
+        self.batches.start()
         self._expire_targets()
         log.info("node_started", incarnation=self.incarnation)
 
@@ -290,6 +314,8 @@
         """Close all ports and connections."""
         if self._expiry is not None:
             self._expiry.cancel()
+        self.batches.close()
+        self.metrics.close()
         await self.quota.close()
         await self.claims.close()
         await self.presence.close()
@@ -334,10 +360,6 @@
         }
         return json_response(200, document)
 
-    async def _counts(self, request: HttpRequest) -> HttpResponse:
-        document = {"node": self._settings.node, "incarnation": self.incarnation}
-        return json_response(200, document | self.counter.to_wire())
-
     async def _health(self, request: HttpRequest) -> HttpResponse:
         return json_response(200, {"status": "ok"})
 
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_service.py
@@ -5,12 +5,18 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 from collections.abc import Sequence
+from dataclasses import dataclass
 from time import monotonic
+from time import time
 from typing import Any
 from typing import Protocol
 
+from pollenglade_core.configuration import Acceptance
+from pollenglade_core.configuration import Action
 from pollenglade_core.configuration import Configuration
+from pollenglade_core.configuration import Kind
 from pollenglade_core.lease import ZoneLeases
 from pollenglade_core.lease_rows import LeaseAction
 from pollenglade_core.lease_rows import ReadAnnouncement
@@ -19,7 +25,6 @@
 from pollenglade_core.lease_rows import preferred_holder
 from pollenglade_core.lease_rows import slot_of
 from pollenglade_core.outcome import Refusal
-from pollenglade_core.profile import OrganisationContract
 from pollenglade_core.quota import Account
 from pollenglade_core.quota import AskHolder
 from pollenglade_core.quota import Granted
@@ -27,8 +32,10 @@
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import Refused
 from pollenglade_core.quota import SettleHolder
+from pollenglade_core.quota import ShareChanges
 from pollenglade_core.quota import Spent
-from pollenglade_core.quota import zone_shares
+from pollenglade_core.quota import ZoneShare
+from pollenglade_core.quota import contract_shares
 from pollenglade_core.quota_borrower import BorrowerAction
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.platform_api import Absent
@@ -50,12 +57,31 @@
 
 ADVANCE_INTERVAL_S = 0.1
 LEASE_INTERVAL_S = 1.0
+SETTLED_S = 600.0
+"""A change this old by the wall clocks of operator and node is in force everywhere.
+
+A node that starts cannot measure the age of a change itself. The limit is far above the 15 s that a
+growing share waits, so that clocks may differ by almost 10 min.
+"""
+
 ASK_TOPIC = "quota-ask"
 SETTLE_TOPIC = "quota-settle"
 
 Done = Callable[[Refusal | None], None]
 
 
+@dataclass(slots=True)
+class QuotaCounts:
+    """Since the start: asks that this node sent as a borrower, and its answers as a holder."""
+
+    asks: int = 0
+    unreachable: int = 0
+    grants: int = 0
+    tokens_granted: int = 0
+    denials: int = 0
+    redirects: int = 0
+
+
 class Peers(Protocol):
     """What the quota needs to know of other nodes."""
 
@@ -72,6 +98,11 @@
         """Ask a node; `callback` gets the answer, or None where there is none."""
 
 
+def _is_settled(accepted: Acceptance) -> bool:
+    """Return whether no other division of a profile that is new to this node can be in force."""
+    return accepted.action is Action.PUBLISH or time() - accepted.stamp.when > SETTLED_S
+
+
 class QuotaService:
     """Drives borrower, holder and leases of one node."""
 
@@ -89,18 +120,19 @@
         self._peers = peers
         self._asker = asker
         self._table = table
-        self._source = source
-        self._name = f"{node}/{incarnation:x}"
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer_by_name: dict[str, asyncio.TimerHandle] = {}
         self._waiting_by_call: dict[str, Done] = {}
         self._holder_by_slot: dict[tuple[str, int], str] = {}
-        self._borrowers_by_zones: dict[tuple[str, ...], QuotaBorrower] = {}
         self._next_call = 0
         self.leases = ZoneLeases(node, incarnation)
         self.holder = QuotaHolder(self.leases)
+        self.borrower = QuotaBorrower(f"{node}/{incarnation:x}", zone, (), source)
         self._accounts: set[Account] = set()
+        self.counts = QuotaCounts()
+        self._share_changes = ShareChanges()
+        self._version = 0
 
     async def start(self) -> None:
         """Start the timers."""
@@ -112,62 +144,61 @@
         now = monotonic()
         accounts: set[Account] = set()
         for profile in configuration.profiles_by_name.values():
-            if self._zone not in profile.zones:
-                continue
-            zones = tuple(profile.zones)
             for contract in profile.organisations_by_id.values():
                 account = Account(profile.name, contract.organisation)
-                rate = zone_shares(contract.rate_per_s, zones, profile.zones)[self._zone]
-                burst = zone_shares(contract.burst, zones, profile.zones)[self._zone]
-                self.holder.set_share(account, rate, burst, now)
+                shares = contract_shares(
+                    account, contract.rate_per_s, contract.burst, profile.zones
+                )
+                self._set_shares(account, shares, configuration, now)
                 accounts.add(account)
         for account in self._accounts - accounts:
-            self.holder.set_share(account, 0, 0, now)
+            self._set_shares(account, {}, configuration, now)
         self._accounts = accounts
+        self._version = configuration.version
 
-    def spend(
+    def _set_shares(
         self,
-        profile: str,
-        contract: OrganisationContract,
-        zones: Sequence[str],
-        done: Done,
-    ) -> Callable[[], None] | None:
+        account: Account,
+        shares: Mapping[str, ZoneShare],
+        configuration: Configuration,
+        now: float,
+    ) -> None:
+        accepted = configuration.acceptance(Kind.PROFILE, account.profile)
+        revision = accepted.revision if accepted is not None else configuration.version
+        complete = configuration.version == self._version + 1
+        if account not in self._accounts and accepted is not None:
+            complete = complete or _is_settled(accepted)
+        delay_s = self._share_changes.growth_delay_s(account, revision, shares, complete, now)
+        own = shares.get(self._zone, ZoneShare(0, 0))
+        self.holder.set_share(account, own, now, delay_s)
+        self.borrower.set_zones(account, list(shares))
+
+    def spend(self, account: Account, done: Done) -> Callable[[], None] | None:
         """Call `done` with None once a token is spent, or with the refusal.
 
         Return a function that abandons the wait, or None where the call does not wait.
         """
-        borrower = self._borrower(zones)
-        account = Account(profile, contract.organisation)
         self._next_call += 1
         call_id = str(self._next_call)
         self._waiting_by_call[call_id] = done
-        self._apply(borrower, borrower.spend(account, call_id, monotonic()))
+        self._apply(self.borrower.spend(account, call_id, monotonic()))
         if call_id not in self._waiting_by_call:
             return None
 
         def abandon() -> None:
             if self._waiting_by_call.pop(call_id, None) is not None:
-                borrower.cancel(account, call_id)
+                self.borrower.cancel(account, call_id)
 
         return abandon
 
-    def _borrower(self, zones: Sequence[str]) -> QuotaBorrower:
-        key = tuple(sorted(zones))
-        borrower = self._borrowers_by_zones.get(key)
-        if borrower is None:
-            name = f"{self._name}/{len(self._borrowers_by_zones)}"
-            borrower = QuotaBorrower(name, self._zone, key, self._source)
-            self._borrowers_by_zones[key] = borrower
-        return borrower
-
-    def _apply(self, borrower: QuotaBorrower, actions: Sequence[BorrowerAction]) -> None:
+    def _apply(self, actions: Sequence[BorrowerAction]) -> None:
         for action in actions:
             if isinstance(action, Spent):
                 self._finish(action.call_id, None)
             elif isinstance(action, Refused):
                 self._finish(action.call_id, action.refusal)
             elif isinstance(action, AskHolder):
-                self._ask(borrower, action, hint=None)
+                self._ask(action, hint=None)
             elif isinstance(action, SettleHolder):
                 self._settle(action)
 
@@ -182,23 +213,23 @@
         known = self._holder_by_slot.get((zone, slot))
         return known if known in live else preferred_holder(slot, live)
 
-    def _ask(self, borrower: QuotaBorrower, action: AskHolder, hint: str | None) -> None:
+    def _ask(self, action: AskHolder, hint: str | None) -> None:
         ask = action.ask
+        self.counts.asks += 1
         node = hint or self._holder_of(action.zone, ask.account.organisation)
         if node is None:
             # A later turn of the loop, because the borrower is in the middle of an event.
-            self._loop.call_soon(self._unreachable, borrower, ask.request_id)
+            self._loop.call_soon(self._unreachable, ask.request_id)
             return
         slot = (action.zone, slot_of(ask.account.organisation))
 
         def on_answer(answer: object) -> None:
-            self._on_answer(borrower, action, slot, answer, redirected=hint is not None)
+            self._on_answer(action, slot, answer, redirected=hint is not None)
 
         self._asker.ask_node(node, ASK_TOPIC, ask_to_wire(ask), on_answer)
 
     def _on_answer(
         self,
-        borrower: QuotaBorrower,
         action: AskHolder,
         slot: tuple[str, int],
         answer: object,
@@ -207,20 +238,21 @@
         now = monotonic()
         request_id = action.ask.request_id
         if not isinstance(answer, list) or len(answer) != 4:
-            self._unreachable(borrower, request_id)
+            self._unreachable(request_id)
             return
         kind, tokens, retry_after_s, holder = answer
         if kind == "granted" and isinstance(tokens, int):
-            self._apply(borrower, borrower.on_granted(request_id, tokens, now))
+            self._apply(self.borrower.on_granted(request_id, tokens, now))
         elif kind == "redirect" and isinstance(holder, str) and holder and not redirected:
             self._holder_by_slot[slot] = holder
-            self._ask(borrower, action, hint=holder)
+            self._ask(action, hint=holder)
         else:
             wait_s = float(retry_after_s) if isinstance(retry_after_s, int | float) else 0.1
-            self._apply(borrower, borrower.on_denied(request_id, wait_s, now))
+            self._apply(self.borrower.on_denied(request_id, wait_s, now))
 
-    def _unreachable(self, borrower: QuotaBorrower, request_id: str) -> None:
-        self._apply(borrower, borrower.on_unreachable(request_id, monotonic()))
+    def _unreachable(self, request_id: str) -> None:
+        self.counts.unreachable += 1
+        self._apply(self.borrower.on_unreachable(request_id, monotonic()))
 
     def _settle(self, action: SettleHolder) -> None:
         node = self._holder_of(action.zone, action.account.organisation)
@@ -237,12 +269,16 @@
         now = monotonic()
         slot = slot_of(ask.account.organisation)
         if self.leases.hold(slot, now) is None:
+            self.counts.redirects += 1
             answer(["redirect", 0, ADVANCE_INTERVAL_S, self.leases.holder_of(slot)])
             return
         result = self.holder.ask(ask, now)
         if isinstance(result, Granted):
+            self.counts.grants += 1
+            self.counts.tokens_granted += result.tokens
             answer(["granted", result.tokens, 0.0, ""])
         else:
+            self.counts.denials += 1
             answer(["denied", 0, result.retry_after_s, ""])
 
     def answer_settle(self, payload: object, answer: Callable[[object], None]) -> None:
@@ -257,8 +293,7 @@
 
     def _advance(self) -> None:
         now = monotonic()
-        for borrower in list(self._borrowers_by_zones.values()):
-            self._apply(borrower, borrower.advance(now))
+        self._apply(self.borrower.advance(now))
         self._timer_by_name["borrowers"] = self._loop.call_later(ADVANCE_INTERVAL_S, self._advance)
 
     def _advance_leases(self) -> None:
