--- a/packages/pollenglade-core/tests/test_core/test_lease.py
+++ b/packages/pollenglade-core/tests/test_core/test_lease.py
@@ -23,6 +23,7 @@
 from pollenglade_core.quota import QuotaAsk
 from pollenglade_core.quota import QuotaHolder
 from pollenglade_core.quota import SlotHold
+from pollenglade_core.quota import ZoneShare
 from pollenglade_core.slot_lease import SlotLease
 
 from .quota_fleet import TICK_S
@@ -38,8 +39,8 @@
 class HolderFailure:
     """A zone under constant overload in which the holder of the only slot fails."""
 
-    def __init__(self, seed: int) -> None:
-        self.fleet = Fleet(seed, {"a": 3}, {ACCOUNT: (RATE, BURST)}, HoardingBorrower)
+    def __init__(self, seed: int, hosts: int = 3) -> None:
+        self.fleet = Fleet(seed, {"a": hosts}, {ACCOUNT: (RATE, BURST)}, HoardingBorrower)
         self.fleet.run(20.0)
         self.load(2.0)
         holder = self.fleet.holder_of("a", ACCOUNT)
@@ -120,6 +121,21 @@
         self.assertEqual(0, failure.excess())
         self.assertEqual(1, len(failure.granting()))
 
+    @settings(max_examples=5)
+    @given(SEEDS, st.booleans())
+    def test_lone_holder_stops_when_a_node_may_have_joined(self, seed: int, cut: bool) -> None:
+        """A node that joins while the lone holder is cut off takes over without its knowledge."""
+        failure = HolderFailure(seed, hosts=1)
+        failure.holder.without_platform = True
+        failure.load(5.0)
+        failure.fleet.start("a1", 1)
+        failure.fleet.hosts["a1"].isolated = cut
+        failure.load(20.0)
+        failure.fleet.hosts["a1"].isolated = False
+        failure.load(50.0)
+        self.assertEqual(0, failure.excess())
+        self.assertEqual(1, len(failure.granting()))
+
 
 class RulesTest(unittest.TestCase):
     @given(st.floats(0, 1e6), st.floats(0, 0.999))
@@ -152,7 +168,7 @@
         """Tokens of a former epoch come on top of those that another holder granted since."""
         authority = FixedHold(SlotHold(1, 0.0))
         holder = QuotaHolder(authority)
-        holder.set_share(ACCOUNT, 1, 50, 0.0)
+        holder.set_share(ACCOUNT, ZoneShare(1, 50), 0.0)
         ask = QuotaAsk("b", "1", ACCOUNT, 1, 1)
         self.assertIsInstance(holder.ask(ask, 60.0), Granted)
         authority.current = SlotHold(2, 60.0)
--- a/packages/pollenglade-node/src/pollenglade_node/claim_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/claim_service.py
@@ -256,6 +256,11 @@
         value = row.value if isinstance(row.value, dict) else {}
         claim = ClaimRow.from_wire(value)
         running = await self._service.is_owner_running(claim)
+        if not running and isinstance(claim, ClaimRow) and claim.state is RowState.CLAIMED:
+            # The owner may have recorded the outcome between the read and its answer.
+            again = await self._service.table.read(row.name)
+            if isinstance(again, Row) and again.version > row.version:
+                return await self._exists(again)
         return ClaimExists(claim, row.version, running)
 
     async def _write(
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -5,12 +5,21 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from time import monotonic
 
 import structlog
 
 from pollenglade_core.call_handles import CallHandles
 from pollenglade_core.configuration import Configuration
+from pollenglade_core.drain import AnnounceLeaving
+from pollenglade_core.drain import Drain
+from pollenglade_core.drain import DrainAction
+from pollenglade_core.drain import DrainState
+from pollenglade_core.drain import RefuseNew
+from pollenglade_core.drain import RunningCalls
+from pollenglade_core.drain import SendDrainOnLinks
+from pollenglade_core.drain import StopRequested
 from pollenglade_core.limit import ConcurrencyLimit
 from pollenglade_core.limit import FixedLimit
 from pollenglade_core.limit import GradientLimit
@@ -56,10 +65,14 @@
 from .serving import Serving
 from .settings import NodeSettings
 
-MIN_LINGER_S = 3.0
-"""Time that a leaving node keeps answering, so that every peer has heard that it leaves."""
-
 RELEASE_TIMEOUT_S = 2.0
+
+QUOTA_SETTLE_LIMIT_S = 10.0
+"""Time after which a node is ready although it could not claim its slots.
+
+With the platform down no slot can be claimed, and calls get quota from other holders.
+"""
+
 DRAIN_POLL_S = 0.05
 TARGET_EXPIRY_INTERVAL_S = 0.5
 
@@ -92,6 +105,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._expiry: asyncio.TimerHandle | None = None
+        self._started_at = monotonic()
         # The start time orders incarnations of one node; a clock step back of the host can
         # repeat one, which the fencing by epochs and row versions tolerates.
         incarnation = time.time_ns() // 1_000_000
@@ -194,7 +208,6 @@
         self.configuration.on_change = self._on_configuration
         self.configuration.is_relay = self._polls_platform
         self.configuration.on_platform_contact = self._on_platform_contact
-        self.presence.live_count = self.fleet.live_count
         self.presence.is_relay = self.fleet.is_relay
         self.presence.is_sweeper = self.fleet.is_sweeper
         self.presence.on_members = self.gossip.seed
@@ -233,16 +246,16 @@
         self._on_fleet()
 
     def _on_fleet(self) -> None:
-        self.fleet.note_offers()
         self.links.peers_by_node = self.fleet.peer_addresses()
+        self.crash_notices.tell_new(self.fleet.note_offers())
         self.router.update(self.fleet.endpoints(), monotonic())
 
     def _on_peer_drain(self, node: str, incarnation: int) -> None:
         self.fleet.on_peer_drain(node, incarnation)
         self._on_fleet()
 
-    def _on_renewed(self, requested_at: float, alone: bool) -> None:
-        self.quota.leases.on_renewed(requested_at, alone, monotonic())
+    def _on_renewed(self, requested_at: float) -> None:
+        self.quota.leases.on_renewed(requested_at, monotonic())
 
     def _on_platform_contact(self, requested_at: float) -> None:
         now = monotonic()
@@ -283,6 +296,7 @@
         await self.quota.start()
         self.batches.start()
         self._expire_targets()
+        self._started_at = monotonic()
         log.info("node_started", incarnation=self.incarnation)
 
     def _expire_targets(self) -> None:
@@ -293,23 +307,36 @@
         """Refuse new work, tell all peers, let running calls end, release what is held."""
         log.info("node_draining")
         started_at = monotonic()
-        self.serving.draining = True
-        self.fleet.set_leaving()
-        self.presence.announce_now()
-        self.links.send_drain()
-        self._caller_server.drain()
-        self._on_fleet()
+        drain = Drain(limit_s=self._settings.drain_limit_s)
+        drain.handle(RunningCalls(self._running_calls()), started_at)
+        self._carry_out(drain.handle(StopRequested(), started_at))
         await self.gossip.tell_all(self._settings.zone)
         await self.quota.release(RELEASE_TIMEOUT_S)
-        while not self._is_drained(monotonic() - started_at):
+        while drain.state is not DrainState.CLOSED:
             await asyncio.sleep(DRAIN_POLL_S)
+            self._carry_out(drain.handle(RunningCalls(self._running_calls()), monotonic()))
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
-    def _is_drained(self, elapsed_s: float) -> bool:
-        if elapsed_s >= self._settings.drain_limit_s:
-            return True
-        busy = self.entry.open_calls or self.serving.calls_by_id or self.links.is_busy
-        return elapsed_s >= MIN_LINGER_S and not busy
+    def _carry_out(self, actions: Sequence[DrainAction]) -> None:
+        """Carry out drain actions; the caller of `close` takes the last two.
+
+        Idle connections are closed with the listener, after the linger time: a caller may be about
+        to use one.
+        """
+        for action in actions:
+            if isinstance(action, RefuseNew):
+                self.serving.draining = True
+                self._caller_server.drain()
+            elif isinstance(action, AnnounceLeaving):
+                self.fleet.set_leaving()
+                self.presence.announce_now()
+                self._on_fleet()
+            elif isinstance(action, SendDrainOnLinks):
+                self.links.send_drain()
+
+    def _running_calls(self) -> int:
+        links = 1 if self.links.is_busy else 0
+        return len(self.entry.open_calls) + len(self.serving.calls_by_id) + links
 
     async def close(self) -> None:
         """Close all ports and connections."""
@@ -364,10 +391,23 @@
     async def _health(self, request: HttpRequest) -> HttpResponse:
         return json_response(200, {"status": "ok"})
 
+    def _has_quota(self) -> bool:
+        """Return whether the next host of a rolling restart may stop as far as quota goes.
+
+        Without this the next holder could leave before this node grants again.
+        """
+        now = monotonic()
+        if now - self._started_at > QUOTA_SETTLE_LIMIT_S:
+            return True
+        live = self.fleet.live_nodes(self._settings.zone)
+        return self.quota.leases.is_settled(live, now)
+
     async def _ready(self, request: HttpRequest) -> HttpResponse:
         missing = []
         if self.configuration.version == 0:
             missing.append("configuration")
         if self.serving.draining:
             missing.append("draining")
+        if not self._has_quota():
+            missing.append("quota")
         return json_response(503 if missing else 200, {"missing": missing})
