--- a/packages/pollenglade-core/src/pollenglade_core/limit.py
+++ b/packages/pollenglade-core/src/pollenglade_core/limit.py
@@ -36,11 +36,11 @@
 MAX_SAMPLES = 256
 """Samples kept per window; bounds the cost of the median."""
 
-TOLERANCE = 1.5
+TOLERANCE = 2.0
 """Ratio of measured latency to baseline up to which the limit does not fall.
 
-It bounds the queue inside a target in full use. In a simulated target the limit reaches 2 to 2.9
-times the capacity, and 2.8 to 4 times with a tolerance of 2.
+It bounds the queue inside a target that is in full use. With 1.5 the limit falls at ordinary
+variation of the latency, and organisations within their rate were refused beside a surging one.
 """
 
 MIN_BASELINE_S = 1e-6
