--- a/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
@@ -49,8 +49,8 @@
 DEPLOYMENT = Deployment(
     name="hop-cost",
     zones=("z1",),
-    services=(Service("work", endpoints=1, slots=400, connections=800),),
-    routes=(Route("plain", "work", "GET", Latency(0.0001), share=1.0),),
+    services=(Service("jobs", endpoints=1, slots=400, connections=800),),
+    routes=(Route("plain", "jobs", "GET", Latency(0.0001), share=1.0),),
     organisations=(Organisation("caller", RATE_PER_S, RATE_PER_S, 1, 1.0),),
 )
 
@@ -100,7 +100,7 @@
     async def through_nodes(self) -> bool:
         """Send one call through both nodes; return whether it succeeded."""
         headers = [(b"authorization", b"Bearer " + self._key.encode())]
-        return await self._send(self._entry.caller, "/work/plain/1", headers)
+        return await self._send(self._entry.caller, "/jobs/plain/1", headers)
 
     async def direct(self) -> bool:
         """Send one call straight to the target; return whether it succeeded."""
@@ -189,7 +189,7 @@
         address = self._entry.caller
         reader, writer = await asyncio.open_connection(address.host, address.port)
         lines = (
-            "GET /work/plain/1 HTTP/1.1",
+            "GET /jobs/plain/1 HTTP/1.1",
             "Host: node",
             f"Authorization: Bearer {self._key}",
             f"{WORK_HEADER.decode()}: 0",
@@ -243,7 +243,7 @@
         serving = await processes.start_node("serving", "z1", platform)
         with TemporaryDirectory() as folder:
             options = ["--slots", "400", "--log-file", str(Path(folder) / "target.log")]
-            target = await processes.start_target("target", "work", serving, options)
+            target = await processes.start_target("target", "jobs", serving, options)
             await processes.wait_target(target)
             await processes.wait_serving(entry)
             await asyncio.sleep(ANNOUNCEMENT_S)
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -34,9 +34,6 @@
 from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import ConnectionPool
 from pollenglade_net.http_client import HttpClient
-from pollenglade_net.http_message import HttpRequest
-from pollenglade_net.http_message import HttpResponse
-from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import async_handler
 from pollenglade_net.link_message import Hello
@@ -64,15 +61,10 @@
 from .quota_service import QuotaService
 from .serving import Serving
 from .settings import NodeSettings
+from .status import Status
 
 RELEASE_TIMEOUT_S = 2.0
 
-QUOTA_SETTLE_LIMIT_S = 10.0
-"""Time after which a node is ready although it could not claim its slots.
-
-With the platform down no slot can be claimed, and calls get quota from other holders.
-"""
-
 DRAIN_POLL_S = 0.05
 TARGET_EXPIRY_INTERVAL_S = 0.5
 
@@ -105,7 +97,6 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._expiry: asyncio.TimerHandle | None = None
-        self._started_at = monotonic()
         # The start time orders incarnations of one node; a clock step back of the host can
         # repeat one, which the fencing by epochs and row versions tolerates.
         incarnation = time.time_ns() // 1_000_000
@@ -173,6 +164,15 @@
             fast,
         )
         self.metrics = Metrics(settings.node, settings.zone, self._parts())
+        self.status = Status(
+            settings,
+            incarnation,
+            self.serving,
+            self.fleet,
+            self.quota,
+            self.entry,
+            self.configuration,
+        )
         self._caller_server = HttpServer(self.entry.handle)
         self._control = ControlApi()
         self._control_server = HttpServer(async_handler(self._control.handle))
@@ -220,11 +220,11 @@
         self._control.add("POST", "/v1/probe", self.gossip.serve_probe)
         add_target_route(self._control, self.serving)
         self._control.add("GET", "/v1/configuration", self.configuration.serve)
-        self._control.add("GET", "/v1/status", self._status)
+        self._control.add("GET", "/v1/status", self.status.serve_status)
         self._control.add("GET", "/v1/counts", self.batches.serve)
         self._control.add("GET", "/metrics", self.metrics.serve)
-        self._control.add("GET", "/health", self._health)
-        self._control.add("GET", "/ready", self._ready)
+        self._control.add("GET", "/health", self.status.serve_health)
+        self._control.add("GET", "/ready", self.status.serve_ready)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self.entry.configuration = configuration
@@ -296,7 +296,6 @@
         await self.quota.start()
         self.batches.start()
         self._expire_targets()
-        self._started_at = monotonic()
         log.info("node_started", incarnation=self.incarnation)
 
     def _expire_targets(self) -> None:
@@ -356,58 +355,3 @@
         await self._pool.close()
         await self._http.close()
         await self._platform.close()
-
-    async def _status(self, request: HttpRequest) -> HttpResponse:
-        current = self.configuration.history.current
-        now = monotonic()
-        targets = [
-            {
-                "service": target.service,
-                "address": str(target.address),
-                "state": target.state.value,
-                "slots": target.slots,
-                "in_flight": target.admission.in_flight,
-                "waiting": target.admission.waiting,
-                "level": target.admission.level.importance.name.lower(),
-                "level_fraction": round(target.admission.level.fraction, 3),
-            }
-            for target in self.serving.targets_by_address.values()
-        ]
-        document = {
-            "node": self._settings.node,
-            "incarnation": self.incarnation,
-            "zone": self._settings.zone,
-            "region": self._settings.region,
-            "draining": self.serving.draining,
-            "configuration_version": current.version,
-            "configuration_digest": current.digest(),
-            "members": self.fleet.size,
-            "slots_held": self.quota.leases.held_slots(now),
-            "open_calls": len(self.entry.open_calls),
-            "targets": targets,
-        }
-        return json_response(200, document)
-
-    async def _health(self, request: HttpRequest) -> HttpResponse:
-        return json_response(200, {"status": "ok"})
-
-    def _has_quota(self) -> bool:
-        """Return whether the next host of a rolling restart may stop as far as quota goes.
-
-        Without this the next holder could leave before this node grants again.
-        """
-        now = monotonic()
-        if now - self._started_at > QUOTA_SETTLE_LIMIT_S:
-            return True
-        live = self.fleet.live_nodes(self._settings.zone)
-        return self.quota.leases.is_settled(live, now)
-
-    async def _ready(self, request: HttpRequest) -> HttpResponse:
-        missing = []
-        if self.configuration.version == 0:
-            missing.append("configuration")
-        if self.serving.draining:
-            missing.append("draining")
-        if not self._has_quota():
-            missing.append("quota")
-        return json_response(503 if missing else 200, {"missing": missing})
