--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Installs the libraries and the packages of this repository into target/deps.
+set -eu
+mkdir -p target
+if [ ! target/libraries.done -nt deploy/requirements.txt ]; then
+    python3 -m pip install --quiet --disable-pip-version-check --upgrade \
+        --target target/deps --requirement deploy/requirements.txt
+    touch target/libraries.done
+fi
+for source in packages/pollenglade-core/src packages/pollenglade-net/src \
+    packages/pollenglade-node/src platform/src; do
+    cp -R "$source"/. target/deps/
+done
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of organisations, summed over all nodes."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/allowance/token_share.py
@@ -0,0 +1,118 @@
+"""The part of one organisation's rate limit that one node may spend."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+WINDOW_S = 5.0
+"""Length in seconds of the window over which the platform sums up an organisation's requests."""
+
+OVERAGE = 0.1
+"""Part by which the sum over all nodes may exceed the limit within a window."""
+
+OVERAGE_SLACK = 20.0
+"""Requests by which the sum may exceed the limit besides."""
+
+TOKENS_PER_HOLDER = 4.0
+"""Burst below which a share is too small to be useful; fewer nodes then hold larger shares."""
+
+MIN_HOLDERS = 3
+"""Holders of a small limit; the loss of one leaves most of the limit in use."""
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceBounds:
+    """Bounds of the platform on the sum over all nodes; times in seconds, slack in requests."""
+
+    window_s: float = WINDOW_S
+    overage: float = OVERAGE
+    slack: float = OVERAGE_SLACK
+
+
+class TokenShare:
+    """Token bucket of one node for one organisation.
+
+    All nodes together never admit more than rate x window + burst, because their shares sum up to
+    1 and a loan is debited before it is credited. Nodes that restart start with a part of the
+    tolerated overage instead of a full bucket: what they admitted before is not known any more.
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._share = share
+        self._tokens = 0.0
+        self._updated_at = now
+
+    @property
+    def share(self) -> float:
+        """Part of the limit between 0 and 1 that accrues at this node."""
+        return self._share
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that the bucket holds at most."""
+        return self._burst * self._share
+
+    def fill(self) -> None:
+        """Fill the bucket, as when the whole system starts for the first time."""
+        self._tokens = self.capacity
+
+    def fill_after_restart(self, bounds: AllowanceBounds) -> None:
+        """Fill the bucket with the node's part of the tolerated overage, at most to its capacity.
+
+        Half of the overage remains for requests in flight and for changes of the shares.
+        """
+        limit = self._rate_per_s * bounds.window_s + self._burst
+        overage = (limit * bounds.overage + bounds.slack) * self._share
+        self._tokens = min(self.capacity, overage / 2)
+
+    def change(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
+        """Apply another limit or share; a smaller bucket drops what it cannot hold."""
+        self.tokens(now)
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._share = share
+        self._tokens = min(self._tokens, self._ceiling())
+
+    def tokens(self, now: float) -> float:
+        """Return the tokens at present."""
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        ceiling = self._ceiling()
+        if self._tokens < ceiling:
+            accrued = elapsed_s * self._rate_per_s * self._share
+            self._tokens = min(ceiling, self._tokens + accrued)
+        return self._tokens
+
+    def take(self, now: float) -> bool:
+        """Spend one token; return False where less than one is left."""
+        if self.tokens(now) < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        """Credit the token of a request that was not sent to any endpoint."""
+        self._tokens = min(self._tokens + 1.0, max(self._ceiling(), 1.0))
+
+    def lend(self, wanted: float, now: float) -> float:
+        """Debit and return up to `wanted` tokens, at most half of what is left."""
+        amount = min(wanted, self.tokens(now) / 2)
+        if amount <= 0.0:
+            return 0.0
+        self._tokens -= amount
+        return amount
+
+    def borrow(self, amount: float) -> None:
+        """Credit tokens that another node has debited."""
+        self._tokens += max(0.0, amount)
+
+    def _ceiling(self) -> float:
+        # A share below one token has to be able to collect a whole one.
+        return max(self.capacity, 1.0) if self._share > 0.0 else 0.0
+
+
+def holder_count(burst: float, nodes: int) -> int:
+    """Return how many of the nodes hold a share of a limit."""
+    return max(1, min(nodes, max(MIN_HOLDERS, int(burst / TOKENS_PER_HOLDER))))
--- a/packages/pollenglade-core/src/pollenglade_core/call.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call.py
@@ -15,7 +15,8 @@
 class CallContext:
     """What a node knows about a call; never contains a key.
 
-    `deadline` is in seconds on the monotonic clock of the node that holds the context.
+    `deadline` and `objective_at`, the end of the latency objective, are in seconds on the monotonic
+    clock of the node that holds the context. `nested` calls were made by a run of another call.
     """
 
     call_id: str
@@ -30,6 +31,8 @@
     idempotent: bool = True
     fingerprint: str = ""
     crash_count: int = 0
+    objective_at: float = 0.0
+    nested: bool = False
 
     def with_allowance(self, allowance: RetryAllowance) -> CallContext:
         """Return a copy with another retry allowance.
@@ -49,6 +52,8 @@
             self.idempotent,
             self.fingerprint,
             self.crash_count,
+            self.objective_at,
+            self.nested,
         )
 
     def remaining_s(self, now: float) -> float:
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the node that receives a request."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services, organisations and limits of one configuration version."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the node beside an endpoint."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -0,0 +1,113 @@
+"""What a node knows about the endpoint on its host, from the endpoint's own reports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class EndpointState(StrEnum):
+    """Whether an endpoint may be sent requests."""
+
+    ABSENT = "absent"
+    READY = "ready"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+class ReportResult(StrEnum):
+    """What became of a report."""
+
+    APPLIED = "applied"
+    STARTED = "started"
+    OTHER_SERVICE = "other-service"
+    OLD_INCARNATION = "old-incarnation"
+    OLD_SEQUENCE = "old-sequence"
+    ALREADY_LEFT = "already-left"
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReport:
+    """A heartbeat of an endpoint.
+
+    `incarnation` orders the starts of endpoints on one host, `sequence` the heartbeats of one
+    start. The endpoint works slowly for another `warmup_left_s` seconds.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    slots: int
+    draining: bool
+    incarnation: int
+    sequence: int
+    warmup_left_s: float = 0.0
+
+
+class EndpointRecord:
+    """The endpoint beside one node; an endpoint that has left never comes back to life."""
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._left: tuple[str, int] | None = None
+        self._incarnation = -1
+        self._sequence = -1
+        self.state = EndpointState.ABSENT
+        self.endpoint_id = ""
+        self.address = ""
+        self.slots = 0
+        self.warm_at = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new requests may be sent to the endpoint."""
+        return self.state is EndpointState.READY
+
+    def apply(self, report: EndpointReport, now: float) -> ReportResult:
+        """Apply a heartbeat unless a newer one or a newer start is known."""
+        if report.service != self._service:
+            return ReportResult.OTHER_SERVICE
+        if report.incarnation < self._incarnation:
+            return ReportResult.OLD_INCARNATION
+        if (report.endpoint_id, report.incarnation) == self._left:
+            return ReportResult.ALREADY_LEFT
+        started = (
+            report.incarnation > self._incarnation or report.endpoint_id != self.endpoint_id
+        )
+        if not started and report.sequence <= self._sequence:
+            return ReportResult.OLD_SEQUENCE
+        if not started and self.state is EndpointState.DRAINING:
+            # A drain is final: it was acknowledged, and later heartbeats may be delayed ones.
+            self._sequence = report.sequence
+            return ReportResult.APPLIED
+        self._incarnation = report.incarnation
+        self._sequence = report.sequence
+        self.endpoint_id = report.endpoint_id
+        self.address = report.address
+        self.slots = report.slots
+        self.warm_at = now + report.warmup_left_s
+        self.state = EndpointState.DRAINING if report.draining else EndpointState.READY
+        return ReportResult.STARTED if started else ReportResult.APPLIED
+
+    def found(self, endpoint_id: str, address: str, slots: int) -> bool:
+        """Take the result of a health check where no heartbeat has been heard yet."""
+        if self.state is not EndpointState.ABSENT or self._left is not None:
+            return False
+        self.endpoint_id = endpoint_id
+        self.address = address
+        self.slots = slots
+        self.state = EndpointState.READY
+        return True
+
+    def leave(self, endpoint_id: str) -> bool:
+        """Take the notice that an endpoint leaves; False where another one is in its place."""
+        if endpoint_id != self.endpoint_id:
+            return False
+        self._left = (endpoint_id, self._incarnation)
+        self.state = EndpointState.DRAINING
+        return True
+
+    def mark_down(self) -> None:
+        """Note that the endpoint refuses connections; the next heartbeat lifts this."""
+        if self.state is EndpointState.READY:
+            self.state = EndpointState.DOWN
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import struct
 from collections import deque
@@ -28,6 +29,11 @@
 
 MAX_IDLE_CONNECTIONS = 64
 
+IDLE_MARGIN_S = 0.5
+"""Time in seconds before the end of a stated idle time from which a connection is not used."""
+
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing sends a reset."""
 
@@ -78,6 +84,7 @@
         self._sink: ResponseSink | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
+        self.idle_limit_s = MAX_IDLE_S
 
     @property
     def is_open(self) -> bool:
@@ -92,8 +99,10 @@
         self._transport = None
         self._pool.forget(self)
         if self._sink is not None:
-            self._h11.receive_data(b"")
-            self._advance()
+            if exc is None:
+                # Only an orderly close ends a body without a length.
+                self._h11.receive_data(b"")
+                self._advance()
             self._fail(FailureReason.CLOSED, str(exc or "connection closed by the server"))
 
     def eof_received(self) -> bool:
@@ -152,7 +161,9 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
-                self._sink.on_head(event.status_code, list(event.headers))
+                headers = list(event.headers)
+                self._note_idle_limit(headers)
+                self._sink.on_head(event.status_code, headers)
             elif isinstance(event, h11.Data):
                 self._sink.on_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -161,6 +172,16 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def _note_idle_limit(self, headers: Headers) -> None:
+        """Learn from `Keep-Alive` how long the server keeps an idle connection open."""
+        for name, value in headers:
+            if name != b"keep-alive":
+                continue
+            match = KEEP_ALIVE_TIMEOUT.search(value)
+            if match is not None:
+                stated_s = float(match[1])
+                self.idle_limit_s = min(MAX_IDLE_S, max(0.0, stated_s - IDLE_MARGIN_S))
+
     def _complete(self) -> None:
         sink, self._sink = self._sink, None
         self._stop_timer()
@@ -172,7 +193,6 @@
         )
         if reusable:
             self._h11.start_next_cycle()
-            self.idle_since = asyncio.get_running_loop().time()
             self._pool.give_back(self)
         else:
             self.abort()
@@ -245,7 +265,8 @@
         now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if connection.is_open and now - connection.idle_since <= max_idle_s:
+            limit_s = min(max_idle_s, connection.idle_limit_s)
+            if connection.is_open and now - connection.idle_since <= limit_s:
                 return connection
             connection.abort()
         return None
@@ -272,6 +293,7 @@
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection for the next request."""
+        connection.idle_since = asyncio.get_running_loop().time()
         idle = self._idle_by_address.setdefault(connection.address, deque())
         if len(idle) >= self._max_idle:
             idle.popleft().abort()
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import cast
 
 import h11
@@ -25,6 +26,21 @@
 BODYLESS_STATUS = frozenset({204, 304})
 LISTEN_BACKLOG = 1024
 
+@dataclass(slots=True)
+class ServerLimits:
+    """Bounds on what a caller may send and how long it may take, in bytes and seconds.
+
+    A time of None is not limited. `cancel_on_eof` says that a caller which closes its sending side
+    does not wait for its response.
+    """
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+    head_timeout_s: float | None = None
+    idle_timeout_s: float | None = None
+    cancel_on_eof: bool = False
+
+
 Handler = Callable[["Exchange"], None]
 AsyncHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -113,7 +129,11 @@
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._limits = server.limits
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
+        )
+        self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
@@ -131,9 +151,11 @@
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
+        self._set_timer(self._limits.idle_timeout_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._set_timer(None, self.close)
         self._server.connections.discard(self)
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
@@ -150,12 +172,27 @@
     def data_received(self, data: bytes) -> None:
         self._h11.receive_data(data)
         if self._exchange is None:
+            if self._request is None:
+                self._set_timer(self._limits.head_timeout_s, self._on_slow_head)
             self._advance()
         elif self._transport and len(self._h11.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
             self._transport.pause_reading()
 
+    def _set_timer(self, delay_s: float | None, callback: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if delay_s is not None:
+            self._timer = asyncio.get_running_loop().call_later(delay_s, callback)
+
+    def _on_slow_head(self) -> None:
+        if self.is_idle:
+            self.reject(408, "the head of the request took too long")
+
     def eof_received(self) -> bool:
         self._eof = True
+        if self._limits.cancel_on_eof and self._exchange is not None:
+            return False
         self._h11.receive_data(b"")
         self._advance()
         # A caller may close its sending side and still wait for responses.
@@ -183,8 +220,9 @@
             return self._begin(event)
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
-            if self._body_bytes > MAX_BODY_BYTES:
-                self.reject(413, f"the body is larger than {MAX_BODY_BYTES} bytes; send less")
+            if self._body_bytes > self._limits.body_bytes:
+                limit = self._limits.body_bytes
+                self.reject(413, f"the body is larger than {limit} bytes; send less")
                 return False
             self._body.append(bytes(event.data))
             return True
@@ -195,15 +233,17 @@
         return False
 
     def _begin(self, event: h11.Request) -> bool:
-        if sum(len(key) + len(value) for key, value in event.headers) > MAX_HEAD_BYTES:
+        limit = self._limits.head_bytes
+        if sum(len(key) + len(value) for key, value in event.headers) > limit:
             # h11 limits a head only while it is incomplete.
-            self.reject(431, f"the head is larger than {MAX_HEAD_BYTES} bytes; send less")
+            self.reject(431, f"the head is larger than {limit} bytes; send less")
             return False
         names = {key for key, _ in event.headers}
         if b"content-length" in names and b"transfer-encoding" in names:
             # Two framings of one body let a request hide behind another.
             self.reject(400, "send either Content-Length or Transfer-Encoding, not both")
             return False
+        self._set_timer(None, self.close)
         self._request = event
         self._body = []
         self._body_bytes = 0
@@ -249,6 +289,7 @@
             return
         if not self._eof:
             self._transport.resume_reading()
+        self._set_timer(self._limits.idle_timeout_s, self.close)
         if self._h11.trailing_data[0]:
             # A fresh turn of the loop bounds the stack depth of pipelined requests.
             asyncio.get_running_loop().call_soon(self._advance)
@@ -286,8 +327,9 @@
 class HttpServer:
     """Listens on one address and hands requests to a handler."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
         self.handler = handler
+        self.limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -86,13 +86,17 @@
 
     `unspent` is the part of the lent retry allowance that was not used. Calls below the importance
     `level` are refused at present, and the fraction `level_fraction` of those at the level.
-    `target_s` is the time at the target in seconds; it is sent with responses only.
+    `target_s` is the time at the target in seconds; it is sent with responses only. `usage` has the
+    calls and slot seconds of the call tree by service, `load` the running and waiting calls, the
+    limit and the expected seconds at the endpoint; both are empty where the peer does not tell.
     """
 
     unspent: int = 0
     level: int = 0
     level_fraction: float = 0.0
     target_s: float = 0.0
+    usage: tuple[tuple[str, float, float], ...] = ()
+    load: tuple[float, ...] = ()
 
 
 def _fields(message: Sequence[Any], count: int, *types: type) -> list[Any]:
@@ -143,6 +147,8 @@
         context.idempotent,
         context.fingerprint,
         context.crash_count,
+        int((context.objective_at - now) * 1000),
+        context.nested,
     ]
     return pack(
         [
@@ -169,6 +175,9 @@
     fields = _fields(wire, 12, str, str, str, str, int, int, int, int, int, bool, str, int)
     call_id, organisation, profile, service, importance, remaining_ms = fields[:6]
     allowance, weight, depth, idempotent, fingerprint, crash_count = fields[6:]
+    objective_ms, nested = wire[13:15] if len(wire) >= 15 else (remaining_ms, False)
+    if not isinstance(objective_ms, int):
+        raise LinkError("the latency objective of a call is not a whole number")
     try:
         level = Importance(importance)
     except ValueError:
@@ -186,6 +195,8 @@
         idempotent=idempotent,
         fingerprint=fingerprint,
         crash_count=crash_count,
+        objective_at=now + objective_ms / 1000,
+        nested=nested is True,
     )
 
 
@@ -218,6 +229,8 @@
             feedback.level,
             feedback.level_fraction,
             feedback.target_s,
+            feedback.usage,
+            feedback.load,
         ]
     )
 
@@ -234,6 +247,8 @@
             feedback.level,
             feedback.level_fraction,
             feedback.target_s,
+            feedback.usage,
+            feedback.load,
         ]
     )
 
@@ -251,6 +266,9 @@
             feedback.unspent,
             feedback.level,
             feedback.level_fraction,
+            feedback.target_s,
+            feedback.usage,
+            feedback.load,
         ]
     )
 
@@ -270,7 +288,8 @@
         outcome = Outcome.UNKNOWN
     retry_after_s = float(retry_after) if isinstance(retry_after, int | float) else None
     refusal = Refusal(reason, outcome, retry_after_s, detail)
-    return refusal, Feedback(unspent, level, fraction)
+    usage, load = _usage_and_load(message, 10)
+    return refusal, Feedback(unspent, level, fraction, usage=usage, load=load)
 
 
 def unpack_feedback(message: Sequence[object], position: int) -> Feedback:
@@ -282,4 +301,28 @@
     if not isinstance(unspent, int) or not isinstance(level, int):
         raise LinkError("feedback is not a number")
     fractions = [float(item) if isinstance(item, int | float) else 0.0 for item in numbers]
-    return Feedback(unspent, level, *fractions)
+    usage, load = _usage_and_load(message, position + 4)
+    return Feedback(unspent, level, *fractions, usage=usage, load=load)
+
+
+def _usage_and_load(
+    message: Sequence[object], position: int
+) -> tuple[tuple[tuple[str, float, float], ...], tuple[float, ...]]:
+    """Decode the usage and the load of feedback; peers of an older release send neither."""
+    if len(message) < position + 2:
+        return (), ()
+    usage, load = message[position : position + 2]
+    if not isinstance(usage, list) or not isinstance(load, list):
+        raise LinkError("the usage or the load of feedback is not an array")
+    items: list[tuple[str, float, float]] = []
+    for item in usage:
+        if not isinstance(item, list) or len(item) != 3 or not isinstance(item[0], str):
+            raise LinkError("a usage is not a service with two numbers")
+        items.append((item[0], _number(item[1]), _number(item[2])))
+    return tuple(items), tuple(_number(value) for value in load)
+
+
+def _number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise LinkError(f"feedback has {type(value).__name__} in place of a number")
+    return float(value)
--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
+from typing import Protocol
 
 import structlog
 
@@ -23,8 +24,6 @@
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
 
-from .serving import Serving
-
 CONNECT_TIMEOUT_S = 0.25
 """A connection takes about 1 ms; a longer wait costs a call more than another node would."""
 
@@ -42,6 +41,13 @@
     incarnation: int
 
 
+class CallRunner(Protocol):
+    """Runs calls at the target of this host."""
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
+        """Admit, queue or refuse a call."""
+
+
 class _Connecting:
     """A call that waits for its link to open."""
 
@@ -67,7 +73,7 @@
 class Links:
     """Opens links on demand and carries calls and questions; owner of every link."""
 
-    def __init__(self, hello: Hello, serving: Serving, source_host: str | None = None) -> None:
+    def __init__(self, hello: Hello, serving: CallRunner, source_host: str | None = None) -> None:
         self._hello = hello
         self._serving = serving
         self._local_address = (source_host, 0) if source_host else None
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -0,0 +1,241 @@
+"""One request at the endpoint of this host, from the queue to the end of the response."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import Protocol
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.dispatch.tree_cost import Usage
+from pollenglade_core.dispatch.tree_cost import UsageByService
+from pollenglade_core.dispatch.tree_cost import add_usage
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_client import ClientConnection
+from pollenglade_net.http_message import FailureReason
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import end_to_end_headers
+from pollenglade_net.link import WINDOW_BYTES
+from pollenglade_net.link_message import Feedback
+
+from .header_names import HeaderNames
+from .response_check import check_response
+
+WHOLE_RESPONSE_BYTES = 256 * 1024
+"""A response up to this size is held until it is whole, so that a broken one can be repeated."""
+
+DEADLINE_GRACE_S = 0.3
+"""Time in seconds past the deadline in which the endpoint may answer by itself, which keeps the
+connection usable."""
+
+
+class EndpointCallOwner(Protocol):
+    """The serving role as seen from one call."""
+
+    @property
+    def names(self) -> HeaderNames:
+        """Names of header fields."""
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the endpoint beside this node."""
+
+    def load(self) -> tuple[float, ...]:
+        """Return running, waiting, limit and expected seconds for the entry node."""
+
+    def connect(self, call: EndpointCall) -> None:
+        """Open a connection for a call that was started."""
+
+    def on_ended(self, call: EndpointCall, completed: bool) -> None:
+        """Free what a call holds."""
+
+    def on_broken(self, call: EndpointCall, refusal: Refusal) -> None:
+        """Find out whether the endpoint crashed, then fail the call."""
+
+    def on_wrong_endpoint(self) -> None:
+        """Take the notice that another endpoint has the address."""
+
+
+class EndpointCall:
+    """Relays one call to the endpoint; sink of its response and attempt for the entry node."""
+
+    def __init__(
+        self,
+        owner: EndpointCallOwner,
+        context: CallContext,
+        request: HttpRequest,
+        sink: AttemptSink,
+        request_id: bytes,
+    ) -> None:
+        self._owner = owner
+        self.context = context
+        self.request_id = request_id
+        self._request = request
+        self._sink: AttemptSink | None = sink
+        self._connection: ClientConnection | None = None
+        self._started_at: float | None = None
+        self._status = 0
+        self._headers: Headers = []
+        self._parts: list[bytes] = []
+        self._held_bytes = 0
+        self._streaming = False
+        self._unacknowledged = 0
+        self._nested_usage: UsageByService = {}
+        self.nested_failed = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the entry node waits for a result."""
+        return self._sink is not None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the call left the queue."""
+        return self._started_at is not None
+
+    def start(self, connection: ClientConnection | None) -> None:
+        """Send the call, on a connection that is still to be opened where there is none."""
+        self._started_at = monotonic()
+        if connection is None:
+            self._owner.connect(self)
+        else:
+            self.send(connection)
+
+    def send(self, connection: ClientConnection) -> None:
+        """Send the request to the endpoint."""
+        self._connection = connection
+        names = self._owner.names
+        remaining_s = max(0.001, self.context.remaining_s(monotonic()))
+        headers = [
+            *self._request.headers,
+            (names.expected_endpoint, self._owner.endpoint_id.encode()),
+            (names.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
+        ]
+        connection.send(
+            self._request.method,
+            self._request.target,
+            headers,
+            self._request.body,
+            self,
+            remaining_s + DEADLINE_GRACE_S,
+            validated=True,
+        )
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Take the head of the response."""
+        self._status = status
+        self._headers = headers
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body; a large body is passed on before it is whole."""
+        if not self._streaming:
+            self._parts.append(data)
+            self._held_bytes += len(data)
+            if self._held_bytes > WHOLE_RESPONSE_BYTES:
+                self._start_streaming()
+            return
+        self._relay(data)
+
+    def _start_streaming(self) -> None:
+        fault = check_response(self._owner.names, self.request_id, self._status, self._headers)
+        if fault is not None or self._sink is None:
+            return
+        self._streaming = True
+        self._sink.on_head(self._status, end_to_end_headers(self._headers))
+        parts, self._parts = self._parts, []
+        for part in parts:
+            self._relay(part)
+
+    def _relay(self, data: bytes) -> None:
+        self._unacknowledged += len(data)
+        if self._unacknowledged > WINDOW_BYTES and self._connection is not None:
+            self._connection.pause()
+        if self._sink is not None:
+            self._sink.on_data(data)
+
+    def credit(self, count: int) -> None:
+        """Allow `count` further bytes of a streamed body."""
+        self._unacknowledged -= count
+        if self._unacknowledged <= WINDOW_BYTES and self._connection is not None:
+            self._connection.resume()
+
+    def on_end(self) -> None:
+        """Take the end of a whole response."""
+        if self._sink is None:
+            # The entry node does not wait any more; the slot is free only now.
+            self._owner.on_ended(self, completed=True)
+            return
+        if self._streaming:
+            sink, self._sink = self._sink, None
+            sink.on_end(self._end(completed=True))
+            return
+        refusal = check_response(self._owner.names, self.request_id, self._status, self._headers)
+        if refusal is not None:
+            if self._status == 421:
+                self._owner.on_wrong_endpoint()
+            self._fail(refusal, completed=refusal.outcome is Outcome.NOT_RUN)
+            return
+        sink, self._sink = self._sink, None
+        feedback = self._end(completed=True)
+        sink.on_response(
+            self._status, end_to_end_headers(self._headers), b"".join(self._parts), feedback
+        )
+
+    def on_failure(self, failure: HttpFailure) -> None:
+        """Take the reason why there is no whole response."""
+        if self._sink is None:
+            self._owner.on_ended(self, completed=False)
+            return
+        if failure.reason is FailureReason.TIMEOUT:
+            self._fail(Refusal(Reason.TIMEOUT, Outcome.UNKNOWN, None, failure.detail))
+        elif failure.sent:
+            refusal = Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, None, failure.detail)
+            self._owner.on_broken(self, refusal)
+        else:
+            self.fail(Refusal(Reason.NO_TARGET, Outcome.NOT_RUN, None, failure.detail))
+
+    def fail(self, refusal: Refusal) -> None:
+        """End the call without a response."""
+        self._fail(refusal)
+
+    def _fail(self, refusal: Refusal, completed: bool = False) -> None:
+        sink, self._sink = self._sink, None
+        feedback = self._end(completed)
+        if sink is None:
+            return
+        if self._streaming:
+            sink.on_failure(refusal, feedback)
+        else:
+            sink.on_refusal(refusal, feedback)
+
+    def add_nested(self, usage: UsageByService, failed: bool) -> None:
+        """Take the usage of a call that the run of this call made."""
+        self._nested_usage = add_usage(self._nested_usage, usage)
+        self.nested_failed = self.nested_failed or failed
+
+    def cancel(self) -> None:
+        """Give the call up; the endpoint sees its connection close."""
+        if self._sink is None:
+            return
+        self._sink = None
+        if self._connection is not None:
+            self._connection.cancel()
+        self._end(completed=False)
+
+    def _end(self, completed: bool) -> Feedback:
+        started_at = self._started_at
+        target_s = 0.0 if started_at is None else monotonic() - started_at
+        usage = self._nested_usage
+        if started_at is not None:
+            usage = add_usage(usage, {self.context.service: Usage(1.0, target_s)})
+        self._owner.on_ended(self, completed)
+        return Feedback(
+            unspent=0 if self.nested_failed else self.context.allowance.remaining,
+            target_s=target_s,
+            usage=tuple((name, item.calls, item.slot_s) for name, item in usage.items()),
+            load=self._owner.load(),
+        )
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -0,0 +1,302 @@
+"""The serving role: queue and connections of the endpoint on this host."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from time import monotonic
+from typing import Any
+
+import structlog
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.quarantine import CrashNotice
+from pollenglade_core.randomness import RandomSource
+from pollenglade_core.serving.endpoint_queue import EndpointQueue
+from pollenglade_core.serving.endpoint_queue import QueuedRequest
+from pollenglade_core.serving.endpoint_queue import QueueAction
+from pollenglade_core.serving.endpoint_queue import Start
+from pollenglade_core.serving.endpoint_record import EndpointRecord
+from pollenglade_core.serving.endpoint_record import EndpointReport
+from pollenglade_core.serving.endpoint_record import EndpointState
+from pollenglade_core.serving.endpoint_record import ReportResult
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_client import FRESH_IDLE_S
+from pollenglade_net.http_client import MAX_IDLE_S
+from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import ConnectionPool
+from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpRequest
+
+from .endpoint_call import EndpointCall
+from .header_names import HeaderNames
+
+EXPIRY_INTERVAL_S = 0.02
+"""Time in seconds between checks of the queue for requests that cannot finish in time."""
+
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+"""Time limits in seconds for a connection to the endpoint on the same host."""
+
+IMPORTANCE_LEVELS = 3
+"""Largest importance; the queue orders by priority, where 0 is the most important."""
+
+log = structlog.get_logger()
+
+
+class EndpointServing:
+    """Runs calls of all nodes at the endpoint beside this node."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: Address,
+        names: HeaderNames,
+        ledger: CrashLedger,
+        source: RandomSource,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._address = address
+        self._names = names
+        self._ledger = ledger
+        self._source = source
+        self._loop = asyncio.get_running_loop()
+        self._queue = EndpointQueue(1)
+        self._call_by_id: dict[str, EndpointCall] = {}
+        self._running_by_request_id: dict[bytes, EndpointCall] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._expiry: asyncio.TimerHandle | None = None
+        self._probe: asyncio.Task[bool] | None = None
+        self._crashes = 0
+        self.pool = ConnectionPool(max_idle=512)
+        self._health_client = HttpClient(self.pool)
+        self.record = EndpointRecord(service)
+        self.leaving = False
+        self.on_changed: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[list[CrashNotice]], None] = lambda notices: None
+
+    @property
+    def names(self) -> HeaderNames:
+        """Names of header fields."""
+        return self._names
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the endpoint beside this node."""
+        return self.record.endpoint_id
+
+    @property
+    def is_available(self) -> bool:
+        """Whether other nodes may send calls."""
+        return self.record.is_ready and not self.leaving
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether calls wait or run."""
+        return bool(self._call_by_id)
+
+    def load(self) -> tuple[float, ...]:
+        """Return running, waiting, limit and expected seconds at the endpoint."""
+        queue = self._queue
+        return (queue.running, queue.waiting, queue.limit, round(queue.expected_s, 5))
+
+    def apply(self, report: EndpointReport) -> ReportResult:
+        """Apply a heartbeat of the endpoint."""
+        before = self.record.state
+        result = self.record.apply(report, monotonic())
+        if result is ReportResult.STARTED:
+            log.info(
+                "endpoint_started",
+                endpoint=report.endpoint_id,
+                slots=report.slots,
+                incarnation=report.incarnation,
+            )
+        if result in (ReportResult.APPLIED, ReportResult.STARTED):
+            self._on_state(before)
+        return result
+
+    def leave(self, endpoint_id: str) -> None:
+        """Take the notice that an endpoint leaves."""
+        before = self.record.state
+        if self.record.leave(endpoint_id):
+            self._on_state(before)
+
+    def _on_state(self, before: EndpointState) -> None:
+        if self.record.slots > 0:
+            self._carry_out(self._queue.resize(self.record.slots, monotonic()))
+        if self.record.state is before:
+            return
+        log.info("endpoint_state", endpoint=self.endpoint_id, state=self.record.state.value)
+        if not self.record.is_ready:
+            self._carry_out(self._queue.drain(Reason.DRAINING))
+        self.on_changed()
+
+    async def find_endpoint(self, health_path: str) -> None:
+        """Ask the endpoint for its id where no heartbeat was heard since the node started."""
+        if self.record.state is not EndpointState.ABSENT:
+            return
+        response = await self._health_client.request(
+            self._address, "GET", health_path, timeout_s=PROBE_TIMEOUT_S
+        )
+        if isinstance(response, HttpFailure) or response.status != 200:
+            return
+        endpoint_id = (response.header(self._names.endpoint) or b"").decode("latin-1")
+        fields = (response.header(self._names.load) or b"").split(b",")
+        slots = int(fields[2]) if len(fields) > 2 and fields[2].strip().isdigit() else 0
+        if not endpoint_id or slots < 1:
+            return
+        before = self.record.state
+        if self.record.found(endpoint_id, str(self._address), slots):
+            log.info("endpoint_found", endpoint=endpoint_id, slots=slots)
+            self._on_state(before)
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> EndpointCall:
+        """Start, queue or refuse a call."""
+        request_id = request.header(self._names.request_id) or b""
+        call = EndpointCall(self, context, request, sink, request_id)
+        refusal = self._refusal(context)
+        if refusal is not None:
+            call.fail(refusal)
+            return call
+        self._call_by_id[context.call_id] = call
+        queued = QueuedRequest(
+            context.call_id,
+            context.nested,
+            IMPORTANCE_LEVELS - context.importance,
+            context.deadline,
+            context.objective_at,
+        )
+        self._carry_out(self._queue.offer(queued, monotonic()))
+        return call
+
+    def _refusal(self, context: CallContext) -> Refusal | None:
+        if not self.is_available or context.service != self._service:
+            reason = Reason.DRAINING if self.leaving else Reason.NO_TARGET
+            return Refusal(reason, Outcome.NOT_RUN, None, self.record.state.value)
+        if context.call_id in self._call_by_id:
+            return Refusal(Reason.BAD_REQUEST, Outcome.NOT_RUN, None, "the call id is in use")
+        return self._ledger.check(context, monotonic(), self._source)
+
+    def _carry_out(self, actions: Iterable[QueueAction]) -> None:
+        for action in actions:
+            call = self._call_by_id.get(action.request_id)
+            if call is None:
+                continue
+            if isinstance(action, Start):
+                self._start(call)
+            else:
+                call.fail(Refusal(action.reason, Outcome.NOT_RUN, None))
+        if self._queue.waiting and self._expiry is None:
+            self._expiry = self._loop.call_later(EXPIRY_INTERVAL_S, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry = None
+        self._carry_out(self._queue.expire(monotonic()))
+
+    def _start(self, call: EndpointCall) -> None:
+        self._running_by_request_id[call.request_id] = call
+        self._ledger.start(call.context, str(self._address))
+        # A connection that was idle for long may be dead without notice.
+        max_idle_s = MAX_IDLE_S if call.context.idempotent else FRESH_IDLE_S
+        call.start(self.pool.take(self._address, max_idle_s))
+
+    def running_call(self, request_id: bytes) -> EndpointCall | None:
+        """Return the call at the endpoint with a request id."""
+        return self._running_by_request_id.get(request_id)
+
+    def connect(self, call: EndpointCall) -> None:
+        """Open a connection for a call that was started."""
+        self._spawn(self._connect(call))
+
+    async def _connect(self, call: EndpointCall) -> None:
+        connection = await self.pool.connect(self._address, CONNECT_TIMEOUT_S)
+        if isinstance(connection, HttpFailure):
+            self._mark_down(connection.detail)
+            if call.is_open:
+                call.on_failure(connection)
+            return
+        if call.is_open:
+            call.send(connection)
+        else:
+            self.pool.give_back(connection)
+
+    def _mark_down(self, detail: str) -> None:
+        before = self.record.state
+        self.record.mark_down()
+        if before is EndpointState.READY:
+            log.warning("endpoint_down", endpoint=self.endpoint_id, detail=detail)
+        self._on_state(before)
+
+    def on_ended(self, call: EndpointCall, completed: bool) -> None:
+        """Free the slot of a call and forget it."""
+        call_id = call.context.call_id
+        if self._call_by_id.get(call_id) is not call:
+            return
+        del self._call_by_id[call_id]
+        if self._running_by_request_id.get(call.request_id) is call:
+            del self._running_by_request_id[call.request_id]
+        now = monotonic()
+        notices = self._ledger.finish(call_id, now, completed)
+        if notices:
+            self.on_crash(notices)
+        if call.is_started and completed:
+            self._carry_out(self._queue.finish(call_id, now))
+        else:
+            self._carry_out(self._queue.cancel(call_id, now))
+
+    def on_wrong_endpoint(self) -> None:
+        """Stop sending to an endpoint whose address another one has taken."""
+        self._mark_down("another endpoint has the address")
+
+    def on_broken(self, call: EndpointCall, refusal: Refusal) -> None:
+        """Fail a call whose connection broke, after a probe has told whether it is a crash."""
+        self._spawn(self._fail_after_probe(call, refusal))
+
+    async def _fail_after_probe(self, call: EndpointCall, refusal: Refusal) -> None:
+        if self._probe is None:
+            self._probe = self._loop.create_task(self._is_alive())
+            self._probe.add_done_callback(lambda _: self._forget_probe())
+        await asyncio.shield(self._probe)
+        if call.is_open:
+            call.fail(refusal)
+
+    def _forget_probe(self) -> None:
+        self._probe = None
+
+    async def _is_alive(self) -> bool:
+        connection = await self.pool.connect(self._address, PROBE_TIMEOUT_S)
+        if not isinstance(connection, HttpFailure):
+            self.pool.give_back(connection)
+            return True
+        self._crashes += 1
+        notices = self._ledger.crash(
+            str(self._address), f"{self._name}/{self._crashes}", monotonic()
+        )
+        if notices:
+            self.on_crash(notices)
+        self._mark_down(connection.detail)
+        return False
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel what is left and close the connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        for call in list(self._call_by_id.values()):
+            call.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await self.pool.close()
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -0,0 +1,260 @@
+"""The entry role: requests of clients on this host and of the endpoint beside the node."""
+
+from __future__ import annotations
+
+import random
+from hashlib import blake2b
+from time import monotonic
+
+import structlog
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.dispatch.peer_view import Peer
+from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.dispatch.retry_budget import RetryBudgets
+from pollenglade_core.dispatch.root_admission import admits
+from pollenglade_core.dispatch.root_admission import retry_after_s
+from pollenglade_core.dispatch.root_admission import tree_delay
+from pollenglade_core.dispatch.tree_cost import TreeCosts
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.policy.traffic_policy import Organisation
+from pollenglade_core.policy.traffic_policy import Route
+from pollenglade_core.policy.traffic_policy import TrafficPolicy
+from pollenglade_core.policy.weighted_split import WeightedSplit
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.randomness import jittered
+from pollenglade_net.attempt import Attempt
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import end_to_end_headers
+from pollenglade_net.http_server import Exchange
+
+from ..links import Links
+from .endpoint_serving import EndpointServing
+from .header_names import HeaderNames
+from .mesh_call import RETRY_AFTER_S
+from .mesh_call import RETRY_LATER_STATUS
+from .mesh_call import AttemptResult
+from .mesh_call import FinalAnswer
+from .mesh_call import MeshCall
+from .request_log import RequestLog
+from .token_desk import TokenDesk
+
+FRAMING_FIELDS = frozenset({b"content-length", b"expect"})
+"""Fields that the node writes itself for each hop."""
+
+OVER_RATE_RETRY_S = 1.0
+"""Delay in seconds that a request beyond its organisation's rate is asked for, before jitter."""
+
+log = structlog.get_logger()
+
+
+class MeshEntry:
+    """Finds the route, the organisation and the endpoint of each request."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        service: str,
+        serving: EndpointServing,
+        links: Links,
+        view: PeerView,
+        tokens: TokenDesk,
+        budgets: RetryBudgets,
+        ledger: CrashLedger,
+        request_log: RequestLog,
+        source: random.Random,
+    ) -> None:
+        self._names = names
+        self._caller_service = service.encode()
+        self._serving = serving
+        self._links = links
+        self._view = view
+        self._tokens = tokens
+        self._budgets = budgets
+        self._ledger = ledger
+        self._request_log = request_log
+        self._source = source
+        self._split = WeightedSplit(source)
+        self._costs = TreeCosts()
+        self._dropped = names.set_by_node | FRAMING_FIELDS
+        self._open_calls = 0
+        self.policy: TrafficPolicy | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests wait for their answer."""
+        return self._open_calls > 0
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take one whole request."""
+        now = monotonic()
+        policy = self.policy
+        request = exchange.request
+        request_id = (request.header(self._names.request_id) or b"").decode("latin-1")
+        if policy is None:
+            self._refuse(exchange, request_id, 503, Reason.NOT_CONFIGURED)
+            return
+        if not request_id:
+            self._refuse(exchange, request_id, 400, Reason.BAD_REQUEST)
+            return
+        host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0].lower()
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = policy.match(host, path)
+        if route is None:
+            self._refuse(exchange, request_id, 404, Reason.SERVICE_UNKNOWN)
+            return
+        organisation: Organisation | None = None
+        if policy.needs_keys and not route.public:
+            keys = request.header_values(self._names.key)
+            organisation = policy.organisation_of(keys[0]) if len(keys) == 1 else None
+            if organisation is None:
+                self._refuse(exchange, request_id, 401, Reason.KEY_UNKNOWN)
+                return
+        call = self._new_call(exchange, request_id, route, organisation, now)
+        self._open_calls += 1
+        self._admit(call, now)
+
+    def _new_call(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        route: Route,
+        organisation: Organisation | None,
+        now: float,
+    ) -> MeshCall:
+        request = exchange.request
+        stated = (request.header(self._names.deadline_ms) or b"").strip()
+        time_s = route.timeout_s
+        if stated.isdigit():
+            time_s = min(time_s, int(stated[:12]) / 1000)
+        parent_id, separator, _ = request_id.rpartition(".")
+        parent = self._serving.running_call(parent_id.encode("latin-1")) if separator else None
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return MeshCall(
+            self,
+            exchange,
+            self._forwarded(request, organisation),
+            request_id,
+            route,
+            self._split.pick(route),
+            organisation,
+            priority,
+            now + time_s,
+            now + min(time_s, route.objective_s),
+            self._fingerprint(request),
+            parent,
+            nested=parent is not None or (organisation is None and bool(separator)),
+        )
+
+    def _forwarded(self, request: HttpRequest, organisation: Organisation | None) -> HttpRequest:
+        dropped = self._dropped
+        headers: Headers = [
+            item for item in end_to_end_headers(request.headers) if item[0] not in dropped
+        ]
+        headers.append((self._names.caller_service, self._caller_service))
+        if organisation is not None:
+            headers.append((self._names.organisation, organisation.name.encode()))
+        return HttpRequest(request.method, request.target, headers, request.body)
+
+    def _fingerprint(self, request: HttpRequest) -> str:
+        digest = blake2b(request.method.encode(), digest_size=12)
+        for part in (request.target, self._caller_service, request.body):
+            digest.update(b"\0")
+            digest.update(part)
+        return digest.hexdigest()
+
+    def _admit(self, call: MeshCall, now: float) -> None:
+        refusal = self._ledger_refusal(call, now) or self._load_refusal(call, now)
+        if refusal is not None:
+            call.refuse(refusal)
+            return
+        self._budgets.on_request(call.service, now)
+        if call.organisation is None:
+            call.start()
+            return
+        self._tokens.acquire(call.organisation.name, lambda granted: self._on_token(call, granted))
+
+    def _ledger_refusal(self, call: MeshCall, now: float) -> Refusal | None:
+        context = CallContext(
+            call.request_id,
+            "",
+            "",
+            call.service,
+            call.importance,
+            call.deadline,
+            call.allowance(),
+            fingerprint=call.fingerprint,
+        )
+        return self._ledger.check(context, now, self._source)
+
+    def _load_refusal(self, call: MeshCall, now: float) -> Refusal | None:
+        if call.nested:
+            return None
+        usage = self._costs.of(call.route.name)
+        delay = tree_delay(call.service, usage, lambda name: self._view.wait_s(name, now))
+        if admits(call.route, call.route.priority, delay):
+            return None
+        detail = f"{delay.service} has {delay.total_s * 1000:.0f} ms of queue along the tree"
+        return Refusal(
+            Reason.OVERLOADED,
+            Outcome.NOT_RUN,
+            retry_after_s(delay, self._source.random()),
+            detail,
+        )
+
+    def _on_token(self, call: MeshCall, granted: bool) -> None:
+        if call.is_done:
+            return
+        if granted:
+            call.has_token = True
+            call.start()
+            return
+        delay_s = jittered(OVER_RATE_RETRY_S, self._source)
+        call.refuse(Refusal(Reason.OVER_RATE, Outcome.NOT_RUN, delay_s))
+
+    def choose(self, call: MeshCall) -> Peer | None:
+        """Return the endpoint for the next attempt of a call."""
+        return self._view.choose(call.service, monotonic(), call.excluded)
+
+    def send(
+        self, peer: Peer, context: CallContext, request: HttpRequest, sink: AttemptResult
+    ) -> Attempt | None:
+        """Send an attempt to the node of an endpoint."""
+        return self._links.send(peer.node, context, request, sink)
+
+    def may_repeat(self, call: MeshCall) -> bool:
+        """Debit the retry budget of every service that a repeat would reach."""
+        calls = {name: item.calls for name, item in self._costs.of(call.route.name).items()}
+        calls[call.service] = max(1.0, calls.get(call.service, 1.0))
+        return self._budgets.take(calls, monotonic())
+
+    def on_shed(self, call: MeshCall) -> None:
+        """Count an arrival that an endpoint rejected."""
+        self._budgets.charge(call.service, monotonic())
+
+    def retry_after_s(self) -> float:
+        """Return a delay with jitter for a refusal without a measured queue."""
+        return jittered(RETRY_AFTER_S, self._source)
+
+    def on_final(self, call: MeshCall, final: FinalAnswer) -> None:
+        """Settle quota and costs, and log how a request ended."""
+        self._open_calls -= 1
+        if call.has_token and not final.ran and call.organisation is not None:
+            self._tokens.give_back(call.organisation.name)
+        if final.usage and final.status < 400:
+            self._costs.learn(call.route.name, final.usage)
+        if call.parent is not None:
+            call.parent.add_nested(final.usage, failed=not 0 < final.status < 400)
+        self._request_log.on_final(call, final)
+
+    def _refuse(self, exchange: Exchange, request_id: str, status: int, reason: Reason) -> None:
+        self._request_log.on_rejected(request_id, status, reason.value)
+        headers: Headers = []
+        if status in RETRY_LATER_STATUS:
+            headers.append((b"retry-after", b"%.3f" % self.retry_after_s()))
+        exchange.respond(status, headers, b"")
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -0,0 +1,370 @@
+"""One request of a client or an endpoint, from its route to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+from typing import Protocol
+
+from pollenglade_core.call import CallContext
+from pollenglade_core.dispatch.peer_view import EndpointLoad
+from pollenglade_core.dispatch.peer_view import Peer
+from pollenglade_core.dispatch.tree_cost import Usage
+from pollenglade_core.dispatch.tree_cost import UsageByService
+from pollenglade_core.importance import Importance
+from pollenglade_core.outcome import STATUS_BY_REASON
+from pollenglade_core.outcome import Outcome
+from pollenglade_core.outcome import Reason
+from pollenglade_core.outcome import Refusal
+from pollenglade_core.policy.traffic_policy import Organisation
+from pollenglade_core.policy.traffic_policy import Route
+from pollenglade_core.retry import RetryAllowance
+from pollenglade_net.attempt import Attempt
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_server import Exchange
+from pollenglade_net.link_message import Feedback
+
+from .endpoint_call import EndpointCall
+
+MAX_PLACEMENTS = 4
+"""Endpoints that are asked in turn while each gives the request back unsent."""
+
+RETRY_AFTER_S = 0.5
+"""Delay in seconds that a refusal without a measured queue asks for, before jitter."""
+
+MIN_TRY_S = 0.02
+"""Time in seconds that must be left for another attempt."""
+
+LOAD_FIELDS = 4
+
+RETRY_LATER_STATUS = frozenset({429, 503})
+
+SERVED = "served"
+
+
+class MeshCallOwner(Protocol):
+    """The entry role as seen from one request."""
+
+    def choose(self, call: MeshCall) -> Peer | None:
+        """Return the endpoint for the next attempt."""
+
+    def send(
+        self, peer: Peer, context: CallContext, request: HttpRequest, sink: AttemptResult
+    ) -> Attempt | None:
+        """Send an attempt; None where the node is not known."""
+
+    def may_repeat(self, call: MeshCall) -> bool:
+        """Debit the retry budget for another attempt."""
+
+    def on_shed(self, call: MeshCall) -> None:
+        """Count an arrival that the endpoint rejected."""
+
+    def retry_after_s(self) -> float:
+        """Return a delay with jitter for a refusal."""
+
+    def on_final(self, call: MeshCall, final: FinalAnswer) -> None:
+        """Take the end of a call for quota, learning and log."""
+
+
+class FinalAnswer:
+    """How a call ended, for the log and the counters."""
+
+    __slots__ = ("detail", "reason", "ran", "status", "usage")
+
+    def __init__(
+        self, status: int, reason: str, ran: bool, detail: str = "", usage: UsageByService | None = None
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.ran = ran
+        self.detail = detail
+        self.usage = usage or {}
+
+
+class AttemptResult:
+    """Sink of one attempt; a result of an attempt that was given up has no effect."""
+
+    __slots__ = ("_call", "peer")
+
+    def __init__(self, call: MeshCall, peer: Peer) -> None:
+        self._call = call
+        self.peer = peer
+
+    def _is_current(self) -> bool:
+        return self._call.current is self and not self._call.is_done
+
+    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
+        self._note(feedback)
+        if self._is_current():
+            self._call.on_response(status, headers, body, feedback)
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        if self._is_current():
+            self._call.on_head(status, headers)
+
+    def on_data(self, data: bytes) -> None:
+        if self._is_current():
+            self._call.on_data(data)
+
+    def on_end(self, feedback: Feedback) -> None:
+        self._note(feedback)
+        if self._is_current():
+            self._call.on_end(feedback)
+
+    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
+        self._note(feedback)
+        if self._is_current():
+            self._call.on_refusal(refusal, feedback)
+
+    def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
+        self._note(feedback)
+        if self._is_current():
+            self._call.on_stream_failure(refusal)
+
+    def _note(self, feedback: Feedback) -> None:
+        if len(feedback.load) >= LOAD_FIELDS:
+            running, waiting, limit, expected_s = feedback.load[:LOAD_FIELDS]
+            load = EndpointLoad(int(running), int(waiting), max(1, int(limit)), expected_s)
+            self.peer.report(load, monotonic())
+
+
+class MeshCall:
+    """Tries endpoints in turn until one answers, the request may not be repeated, or time is up."""
+
+    def __init__(
+        self,
+        owner: MeshCallOwner,
+        exchange: Exchange,
+        request: HttpRequest,
+        request_id: str,
+        route: Route,
+        service: str,
+        organisation: Organisation | None,
+        priority: int,
+        deadline: float,
+        objective_at: float,
+        fingerprint: str,
+        parent: EndpointCall | None,
+        nested: bool,
+    ) -> None:
+        self._owner = owner
+        self._exchange = exchange
+        self._request = request
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.organisation = organisation
+        self.priority = priority
+        self.deadline = deadline
+        self.objective_at = objective_at
+        self.fingerprint = fingerprint
+        self.parent = parent
+        self.nested = nested
+        self.started_at = monotonic()
+        self.excluded: set[str] = set()
+        self.current: AttemptResult | None = None
+        self.attempts = 0
+        self.placements = 0
+        self._attempt: Attempt | None = None
+        self._may_have_run = False
+        self.is_done = False
+        self.has_token = False
+        self._streaming = False
+        self._owed_credit = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._last_refusal = Refusal(Reason.NO_TARGET)
+
+    @property
+    def endpoint_node(self) -> str:
+        """Node of the latest attempt."""
+        return self.current.peer.node if self.current is not None else ""
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        self._exchange.on_cancel = self._on_client_gone
+        delay_s = max(0.0, self.deadline - monotonic())
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timeout)
+        self._place()
+
+    def _place(self) -> None:
+        peer = self._owner.choose(self)
+        if peer is None:
+            self._finish_refused(self._last_refusal)
+            return
+        self.placements += 1
+        self.attempts += 1
+        result = AttemptResult(self, peer)
+        self.current = result
+        attempt = self._owner.send(peer, self._context(), self._request, result)
+        if attempt is None:
+            self.on_refusal(Refusal(Reason.LINK_FAILED), Feedback())
+        elif self.current is result:
+            self._attempt = attempt
+
+    @property
+    def importance(self) -> Importance:
+        """Importance by which endpoints order their queues."""
+        return Importance(max(0, min(Importance.CRITICAL, Importance.CRITICAL - self.priority)))
+
+    def allowance(self) -> RetryAllowance:
+        """Return how many further attempts the request may have."""
+        left = self.route.max_attempts - self.attempts if self.route.repeatable else 0
+        return RetryAllowance(max(0, left))
+
+    def _context(self) -> CallContext:
+        suffix = f"#{self.placements}" if self.placements > 1 else ""
+        return CallContext(
+            call_id=self.request_id + suffix,
+            organisation=self.organisation.name if self.organisation is not None else "",
+            profile="",
+            service=self.service,
+            importance=self.importance,
+            deadline=self.deadline,
+            allowance=self.allowance(),
+            depth=2 if self.nested else 1,
+            idempotent=self.route.repeatable,
+            fingerprint=self.fingerprint,
+            objective_at=self.objective_at,
+            nested=self.nested,
+        )
+
+    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
+        """Pass a whole response on, or repeat one in which the endpoint itself failed."""
+        assert self.current is not None
+        failed = status >= 500
+        if failed and feedback.unspent > 0:
+            self.current.peer.note_result(True, monotonic())
+            if self._repeat():
+                return
+        elif not failed:
+            self.current.peer.note_result(False, monotonic())
+        self._end()
+        reason = "endpoint-failed" if failed else SERVED
+        self._owner.on_final(
+            self, FinalAnswer(status, reason, ran=True, usage=usage_of(feedback))
+        )
+        self._exchange.respond(status, headers, body)
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Start to pass a large response on."""
+        self._streaming = True
+        self._exchange.on_drained = self._on_drained
+        self._exchange.start(status, headers)
+
+    def on_data(self, data: bytes) -> None:
+        """Pass a part of a large response on."""
+        self._exchange.write(data)
+        if self._attempt is not None and not self._exchange.is_congested:
+            self._attempt.credit(len(data))
+        else:
+            self._owed_credit += len(data)
+
+    def _on_drained(self) -> None:
+        owed, self._owed_credit = self._owed_credit, 0
+        if self._attempt is not None and owed:
+            self._attempt.credit(owed)
+
+    def on_end(self, feedback: Feedback) -> None:
+        """End a large response."""
+        self._end()
+        self._owner.on_final(self, FinalAnswer(200, SERVED, ran=True, usage=usage_of(feedback)))
+        self._exchange.end()
+
+    def on_stream_failure(self, refusal: Refusal) -> None:
+        """Break the client's connection, so that a part does not look like the whole."""
+        self._end()
+        self._owner.on_final(self, FinalAnswer(0, refusal.reason.value, ran=True))
+        self._exchange.abort()
+
+    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
+        """Place the request elsewhere if it has not run; repeat it if it may be repeated."""
+        assert self.current is not None
+        peer = self.current.peer
+        self._last_refusal = refusal
+        if refusal.outcome is Outcome.NOT_RUN:
+            self._on_not_run(refusal, peer)
+            return
+        self._may_have_run = True
+        peer.note_result(True, monotonic())
+        if self._repeat():
+            return
+        status = 504 if refusal.reason is Reason.TIMEOUT else 502
+        self._answer(status, refusal, ran=True)
+
+    def _on_not_run(self, refusal: Refusal, peer: Peer) -> None:
+        self.attempts -= 1
+        if refusal.reason is Reason.TARGET_SHED:
+            peer.note_result(True, monotonic())
+            self.attempts += 1
+            self._owner.on_shed(self)
+            if self.attempts >= self.route.max_attempts or not self._owner.may_repeat(self):
+                self._finish_refused(refusal)
+                return
+        final = refusal.reason in (Reason.DEADLINE, Reason.QUARANTINED, Reason.BAD_REQUEST)
+        if final or self.placements >= MAX_PLACEMENTS:
+            self._finish_refused(refusal)
+            return
+        self.excluded.add(peer.node)
+        self._place()
+
+    def _repeat(self) -> bool:
+        assert self.current is not None
+        if not self.route.repeatable or self.attempts >= self.route.max_attempts:
+            return False
+        if self.deadline - monotonic() < MIN_TRY_S or not self._owner.may_repeat(self):
+            return False
+        self._may_have_run = True
+        self.excluded.add(self.current.peer.node)
+        self._place()
+        return True
+
+    def _finish_refused(self, refusal: Refusal) -> None:
+        if self._may_have_run:
+            self._answer(502, refusal, ran=True)
+        else:
+            self._answer(503, refusal, ran=False)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer a request for which no attempt was made."""
+        self._answer(STATUS_BY_REASON[refusal.reason], refusal, ran=False)
+
+    def _answer(self, status: int, refusal: Refusal, ran: bool) -> None:
+        self._end()
+        self._owner.on_final(self, FinalAnswer(status, refusal.reason.value, ran, refusal.detail))
+        headers: Headers = []
+        if status in RETRY_LATER_STATUS:
+            delay_s = refusal.retry_after_s or self._owner.retry_after_s()
+            headers.append((b"retry-after", b"%.3f" % delay_s))
+        self._exchange.respond(status, headers, b"")
+
+    def _on_timeout(self) -> None:
+        self._end()
+        if self._streaming:
+            if self._attempt is not None:
+                self._attempt.cancel()
+            self._owner.on_final(self, FinalAnswer(0, Reason.TIMEOUT.value, ran=True))
+            self._exchange.abort()
+            return
+        # The endpoint stops by itself at the deadline, which keeps its connection usable.
+        self._owner.on_final(self, FinalAnswer(504, Reason.TIMEOUT.value, ran=True))
+        self._exchange.respond(504, [], b"")
+
+    def _on_client_gone(self) -> None:
+        if self.is_done:
+            return
+        self._end()
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._owner.on_final(self, FinalAnswer(0, Reason.CANCELLED.value, ran=True))
+
+    def _end(self) -> None:
+        self.is_done = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def usage_of(feedback: Feedback) -> dict[str, Usage]:
+    """Return the usage by service that came with a result."""
+    return {service: Usage(calls, slot_s) for service, calls, slot_s in feedback.usage}
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -0,0 +1,220 @@
+"""A mesh node: every part and how they are wired, from top to bottom."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from time import monotonic
+
+import structlog
+
+from pollenglade_core.dispatch.peer_view import EndpointLoad
+from pollenglade_core.dispatch.peer_view import Peer
+from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.dispatch.retry_budget import RetryBudgets
+from pollenglade_core.policy.traffic_policy import TrafficPolicy
+from pollenglade_core.quarantine import CrashLedger
+from pollenglade_core.quarantine import CrashNotice
+from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import ServerLimits
+from pollenglade_net.link_message import Hello
+
+from ..crash_notices import CRASH_TOPIC
+from ..crash_notices import CrashNotices
+from ..links import Links
+from .endpoint_serving import EndpointServing
+from .entry import MeshEntry
+from .header_names import HeaderNames
+from .mesh_settings import MeshSettings
+from .peer_exchange import STATE_TOPIC
+from .peer_exchange import MeshMember
+from .peer_exchange import NodeState
+from .peer_exchange import PeerExchange
+from .policy_holder import POLICY_TOPIC
+from .policy_holder import PolicyDecoder
+from .policy_holder import PolicyHolder
+from .request_log import RequestLog
+from .token_desk import LOAN_TOPIC
+from .token_desk import TokenDesk
+
+MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
+"""Request bodies are held whole; a larger one does not fit beside others in a small process."""
+
+LINGER_S = 2.3
+"""Time in seconds after SIGTERM in which clients learn that the node is not ready."""
+
+STOP_MARGIN_S = 0.8
+"""Time in seconds before the end of the grace period at which what is left is given up."""
+
+DRAIN_POLL_S = 0.05
+
+OWN_STATE_INTERVAL_S = 0.2
+"""Time in seconds between refreshes of the load of the own endpoint."""
+
+log = structlog.get_logger()
+
+
+class MeshNode:
+    """One node; `start`, then `stop_gracefully`, then `close`."""
+
+    def __init__(self, settings: MeshSettings, names: HeaderNames, decode: PolicyDecoder) -> None:
+        self._settings = settings
+        source = random.Random(random.SystemRandom().getrandbits(64))
+        # Starts of one node are ordered by this number; the time of day may step back.
+        incarnation = time.time_ns() // 1_000_000
+        self.member = MeshMember(
+            settings.node,
+            settings.zone,
+            settings.service,
+            str(settings.link_address),
+            incarnation,
+        )
+        self._ledger = CrashLedger()
+        self.serving = EndpointServing(
+            f"{settings.node}/{incarnation:x}",
+            settings.service,
+            settings.endpoint_address,
+            names,
+            self._ledger,
+            source,
+        )
+        self._links = Links(Hello(settings.node, incarnation, settings.zone), self.serving)
+        self._view = PeerView(settings.zone)
+        self._own_peer = Peer(settings.node, settings.zone, settings.service)
+        self._view.by_node[settings.node] = self._own_peer
+        self.peers = PeerExchange(self.member, self._links, self._view, self._state, source)
+        self.policy = PolicyHolder(decode, self._links)
+        self._budgets = RetryBudgets(settings.retries, monotonic())
+        self._tokens = TokenDesk(
+            settings.node, self._links, settings.allowance, settings.first_start, source
+        )
+        self._crash_notices = CrashNotices(
+            self._ledger, self._links, lambda service: self.peers.nodes, source
+        )
+        self.request_log = RequestLog()
+        self._entry = MeshEntry(
+            names,
+            settings.service,
+            self.serving,
+            self._links,
+            self._view,
+            self._tokens,
+            self._budgets,
+            self._ledger,
+            self.request_log,
+            source,
+        )
+        self._limits = ServerLimits(cancel_on_eof=True)
+        self._server = HttpServer(self._entry.handle, self._limits)
+        self._refresh: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._connect_parts()
+
+    def _connect_parts(self) -> None:
+        topics = self._links.answer_by_topic
+        topics[STATE_TOPIC] = self.peers.answer
+        topics[POLICY_TOPIC] = self.policy.answer
+        topics[LOAN_TOPIC] = self._tokens.answer
+        topics[CRASH_TOPIC] = self._crash_notices.answer
+        self.policy.on_change = self._on_policy
+        self.peers.on_members = self._on_members
+        self.peers.on_version = self.policy.on_peer_version
+        self.serving.on_changed = self._on_endpoint
+        self.serving.on_crash = self._on_crash
+        self._tokens.is_alive = self.peers.is_alive
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients may send requests to this node."""
+        return self.policy.current is not None and not self.serving.leaving
+
+    def _state(self) -> NodeState:
+        running, waiting, limit, expected_s = self.serving.load()
+        return NodeState(
+            self.member,
+            self.serving.is_available,
+            self.serving.endpoint_id,
+            EndpointLoad(int(running), int(waiting), int(limit), expected_s),
+            self.policy.version,
+        )
+
+    def _on_policy(self, policy: TrafficPolicy) -> None:
+        self._entry.policy = policy
+        limits = policy.limits
+        self._limits.head_bytes = limits.head_bytes
+        self._limits.body_bytes = min(limits.body_bytes, MAX_BUFFERED_BODY_BYTES)
+        self._limits.head_timeout_s = limits.head_timeout_s
+        self._limits.idle_timeout_s = limits.idle_timeout_s
+        self._tokens.apply(policy.organisations_by_name.values(), self.peers.nodes)
+        self.peers.push()
+        rules = policy.services_by_name.get(self._settings.service)
+        if rules is not None:
+            self._spawn_find(rules.health_path)
+
+    def _spawn_find(self, health_path: str) -> None:
+        task = asyncio.get_running_loop().create_task(self.serving.find_endpoint(health_path))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _on_members(self) -> None:
+        self._budgets.set_nodes(len(self.peers.nodes))
+        if self.policy.current is not None:
+            organisations = self.policy.current.organisations_by_name.values()
+            self._tokens.apply(organisations, self.peers.nodes)
+
+    def _on_endpoint(self) -> None:
+        self._refresh_own()
+        self.peers.push()
+
+    def _on_crash(self, notices: list[CrashNotice]) -> None:
+        task = asyncio.get_running_loop().create_task(
+            self._crash_notices.notify(self._settings.service, notices)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _refresh_own(self) -> None:
+        state = self._state()
+        self._own_peer.ready = state.ready
+        self._own_peer.endpoint_id = state.endpoint_id
+        self._own_peer.report(state.load, monotonic())
+
+    def _keep_own_fresh(self) -> None:
+        self._refresh_own()
+        self._refresh = asyncio.get_running_loop().call_later(OWN_STATE_INTERVAL_S, self._keep_own_fresh)
+
+    async def start(self) -> None:
+        """Open the ports and take part in the mesh."""
+        settings = self._settings
+        await self._server.start(settings.caller_address.host, settings.caller_address.port)
+        await self._links.start(settings.link_address)
+        self.peers.start()
+        self._keep_own_fresh()
+        log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
+
+    async def stop_gracefully(self) -> None:
+        """Take no new work, let running calls end, and return once nothing is left or time is up."""
+        started_at = monotonic()
+        log.info("node_draining")
+        self.serving.leaving = True
+        self._server.drain()
+        self._on_endpoint()
+        limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
+        while monotonic() - started_at < limit_s:
+            busy = self._entry.is_busy or self.serving.is_busy
+            if not busy and monotonic() - started_at > LINGER_S:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        log.info("node_drained", seconds=round(monotonic() - started_at, 1))
+
+    async def close(self) -> None:
+        """Close all ports and connections."""
+        if self._refresh is not None:
+            self._refresh.cancel()
+        self.peers.close()
+        await self._server.close()
+        await self.serving.close()
+        await self._links.close()
+        for task in self._tasks:
+            task.cancel()
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -0,0 +1,82 @@
+"""One line for each request that was refused, failed, repeated or late; a sample of the others."""
+
+from __future__ import annotations
+
+from collections import Counter
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import structlog
+
+if TYPE_CHECKING:
+    from .mesh_call import FinalAnswer
+    from .mesh_call import MeshCall
+
+LINES_PER_REASON_AND_S = 5
+"""Request lines of one reason and second; further ones are counted and reported together."""
+
+SERVED_SAMPLE = 200
+"""Every so many served requests have a line."""
+
+log = structlog.get_logger()
+
+
+class RequestLog:
+    """Writes request lines and counts answers by reason."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._lines_by_reason: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
+        self._served = 0
+        self.answers: Counter[tuple[int, str]] = Counter()
+
+    def on_final(self, call: MeshCall, final: FinalAnswer) -> None:
+        """Take the end of a request that had a route."""
+        self.answers[(final.status, final.reason)] += 1
+        now = monotonic()
+        late = now > call.objective_at
+        reason = final.reason
+        if reason == "served" and call.attempts <= 1 and not late:
+            self._served += 1
+            if self._served % SERVED_SAMPLE:
+                return
+        elif reason == "served":
+            reason = "late" if late else "repeated"
+        if not self._may_write(reason, now):
+            return
+        log.info(
+            "request",
+            request=call.request_id,
+            parent=call.parent.request_id.decode("latin-1") if call.parent is not None else None,
+            route=call.route.name,
+            service=call.service,
+            organisation=call.organisation.name if call.organisation is not None else None,
+            decision=reason,
+            status=final.status,
+            detail=final.detail or None,
+            attempts=call.attempts,
+            placements=call.placements,
+            node=call.endpoint_node,
+            ms=round((now - call.started_at) * 1000, 1),
+        )
+
+    def on_rejected(self, request_id: str, status: int, reason: str) -> None:
+        """Take a request that had no route or no organisation."""
+        self.answers[(status, reason)] += 1
+        if self._may_write(reason, monotonic()):
+            log.info("request", request=request_id, decision=reason, status=status)
+
+    def _may_write(self, reason: str, now: float) -> bool:
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._lines_by_reason.clear()
+            if self._left_out:
+                log.info("request_lines_left_out", by_reason=dict(self._left_out))
+                self._left_out.clear()
+        self._lines_by_reason[reason] += 1
+        if self._lines_by_reason[reason] <= LINES_PER_REASON_AND_S:
+            return True
+        self._left_out[reason] += 1
+        return False
