--- a/packages/pollenglade-core/src/pollenglade_core/allowance/token_share.py
+++ b/packages/pollenglade-core/src/pollenglade_core/allowance/token_share.py
@@ -29,17 +29,57 @@
     slack: float = OVERAGE_SLACK
 
 
+PAID_OVERAGE = 0.7
+PAID_SLACK = 0.5
+"""Parts of the overage and of the slack that the shares use in steady state; the rest covers nodes
+that restart without memory and requests in flight while shares change."""
+
+KEPT_BURST = 0.7
+"""Part of the burst that may be spent at once; the rest is spread over the window, as a sum over a
+window allows a higher sustained rate than a bucket with the full burst does."""
+
+
+@dataclass(frozen=True, slots=True)
+class BucketSize:
+    """Rate and burst of the bucket that all nodes together keep."""
+
+    rate_per_s: float
+    burst: float
+
+    @classmethod
+    def of(cls, rate_per_s: float, burst: float, bounds: AllowanceBounds) -> BucketSize:
+        """Return the largest bucket that keeps the sum in each window with a margin."""
+        limit = rate_per_s * bounds.window_s + burst
+        total = limit * (1.0 + PAID_OVERAGE * bounds.overage) + PAID_SLACK * bounds.slack
+        bucket_burst = KEPT_BURST * burst + PAID_SLACK * bounds.slack
+        return cls((total - bucket_burst) / bounds.window_s, bucket_burst)
+
+
+def restart_margin(rate_per_s: float, burst: float, bounds: AllowanceBounds) -> float:
+    """Return what nodes that remember nothing may spend at once, summed over all of them."""
+    limit = rate_per_s * bounds.window_s + burst
+    return (1.0 - PAID_OVERAGE) * bounds.overage * limit + (1.0 - PAID_SLACK) * bounds.slack
+
+
 class TokenShare:
     """Token bucket of one node for one organisation.
 
-    All nodes together never admit more than rate x window + burst, because their shares sum up to
-    1 and a loan is debited before it is credited. Nodes that restart start with a part of the
-    tolerated overage instead of a full bucket: what they admitted before is not known any more.
+    All nodes together never admit more than their common bucket, because their shares sum up to 1
+    and a loan is debited before it is credited. Nodes that restart start with their part of the
+    restart margin instead of a full bucket: what they admitted before is not known any more.
     """
 
-    def __init__(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
-        self._rate_per_s = rate_per_s
-        self._burst = burst
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        share: float,
+        now: float,
+        bounds: AllowanceBounds | None = None,
+    ) -> None:
+        self._bounds = bounds or AllowanceBounds()
+        self._limit = (rate_per_s, burst)
+        self._size = BucketSize.of(rate_per_s, burst, self._bounds)
         self._share = share
         self._tokens = 0.0
         self._updated_at = now
@@ -52,26 +92,21 @@
     @property
     def capacity(self) -> float:
         """Tokens that the bucket holds at most."""
-        return self._burst * self._share
+        return self._size.burst * self._share
 
     def fill(self) -> None:
         """Fill the bucket, as when the whole system starts for the first time."""
         self._tokens = self.capacity
 
-    def fill_after_restart(self, bounds: AllowanceBounds) -> None:
-        """Fill the bucket with the node's part of the tolerated overage, at most to its capacity.
-
-        Half of the overage remains for requests in flight and for changes of the shares.
-        """
-        limit = self._rate_per_s * bounds.window_s + self._burst
-        overage = (limit * bounds.overage + bounds.slack) * self._share
-        self._tokens = min(self.capacity, overage / 2)
+    def fill_after_restart(self) -> None:
+        """Fill the bucket with the node's part of the restart margin, at most to its capacity."""
+        self._tokens = min(self.capacity, restart_margin(*self._limit, self._bounds) * self._share)
 
     def change(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
         """Apply another limit or share; a smaller bucket drops what it cannot hold."""
         self.tokens(now)
-        self._rate_per_s = rate_per_s
-        self._burst = burst
+        self._limit = (rate_per_s, burst)
+        self._size = BucketSize.of(rate_per_s, burst, self._bounds)
         self._share = share
         self._tokens = min(self._tokens, self._ceiling())
 
@@ -81,7 +116,7 @@
         self._updated_at = now
         ceiling = self._ceiling()
         if self._tokens < ceiling:
-            accrued = elapsed_s * self._rate_per_s * self._share
+            accrued = elapsed_s * self._size.rate_per_s * self._share
             self._tokens = min(ceiling, self._tokens + accrued)
         return self._tokens
 
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -168,5 +168,7 @@
     def _compact(self) -> None:
         if len(self._heap) > 2 * len(self._waiting_by_id) + 16:
             waiting = self._waiting_by_id
-            self._heap = [item for item in self._heap if waiting.get(item[-1].request_id) is item[-1]]
+            self._heap = [
+                item for item in self._heap if waiting.get(item[-1].request_id) is item[-1]
+            ]
             heapify(self._heap)
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -71,9 +71,7 @@
             return ReportResult.OLD_INCARNATION
         if (report.endpoint_id, report.incarnation) == self._left:
             return ReportResult.ALREADY_LEFT
-        started = (
-            report.incarnation > self._incarnation or report.endpoint_id != self.endpoint_id
-        )
+        started = report.incarnation > self._incarnation or report.endpoint_id != self.endpoint_id
         if not started and report.sequence <= self._sequence:
             return ReportResult.OLD_SEQUENCE
         if not started and self.state is EndpointState.DRAINING:
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_allowance/test_token_share.py
@@ -0,0 +1,133 @@
+"""Guards against an organisation that exceeds its limit summed over nodes that lend, restart and
+come and go, and against refusals of a demand well within the limit."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import deque
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from pollenglade_core.allowance.holders import holders
+from pollenglade_core.allowance.token_share import AllowanceBounds
+from pollenglade_core.allowance.token_share import TokenShare
+
+BOUNDS = AllowanceBounds()
+TICK_S = 1 / 64
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Nodes that spend all they have, lend, lose messages, and restart one after the other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.rate, self.burst = 20.0, 20.0
+        self.shares: dict[str, TokenShare] = {}
+        self.spent_at: deque[float] = deque()
+        self.all_restarted_at = -1e9
+
+    @initialize(nodes=st.integers(1, 6), rate=st.sampled_from([5.0, 40.0, 165.0]))
+    def begin(self, nodes: int, rate: float) -> None:
+        self.rate = self.burst = rate
+        names = [f"n{number}" for number in range(nodes)]
+        held = holders("acme", self.burst, names)
+        for name in names:
+            part = 1.0 / len(held) if name in held else 0.0
+            self.shares[name] = TokenShare(self.rate, self.burst, part, self.now, BOUNDS)
+            self.shares[name].fill()
+
+    @rule(ticks=st.integers(1, 400))
+    def wait(self, ticks: int) -> None:
+        self.now += ticks * TICK_S
+
+    @rule(index=st.integers(0, 5), most=st.integers(1, 400))
+    def spend(self, index: int, most: int) -> None:
+        share = self.shares[sorted(self.shares)[index % len(self.shares)]]
+        for _ in range(most):
+            if not share.take(self.now):
+                break
+            self.spent_at.append(self.now)
+
+    @rule(lender=st.integers(0, 5), borrower=st.integers(0, 5), lost=st.booleans())
+    def lend(self, lender: int, borrower: int, lost: bool) -> None:
+        names = sorted(self.shares)
+        amount = self.shares[names[lender % len(names)]].lend(10.0, self.now)
+        if not lost:
+            self.shares[names[borrower % len(names)]].borrow(amount)
+
+    @rule()
+    def restart_all(self) -> None:
+        """All nodes are killed at one moment, at most once in a window."""
+        if self.now - self.all_restarted_at < BOUNDS.window_s:
+            return
+        self.all_restarted_at = self.now
+        for name, share in list(self.shares.items()):
+            fresh = TokenShare(self.rate, self.burst, share.share, self.now, BOUNDS)
+            fresh.fill_after_restart()
+            self.shares[name] = fresh
+
+    @invariant()
+    def sum_keeps_the_bound(self) -> None:
+        while self.spent_at and self.spent_at[0] <= self.now - BOUNDS.window_s:
+            self.spent_at.popleft()
+        limit = (self.rate * BOUNDS.window_s + self.burst) * (1 + BOUNDS.overage) + BOUNDS.slack
+        assert len(self.spent_at) <= limit, (len(self.spent_at), limit)
+
+
+FleetTest = FleetMachine.TestCase
+
+
+class CalmTest(unittest.TestCase):
+    """Demand of 1/1.6 of the limit, uneven over sixteen nodes, with loans."""
+
+    def test_refusals_within_the_limit_are_rare(self) -> None:
+        for rate in (32.0, 165.0):
+            refused, asked = self._play(rate, random.Random(3))
+            self.assertLess(refused / asked, 0.001, rate)
+
+    def _play(self, rate: float, source: random.Random) -> tuple[int, int]:
+        names = [f"n{number}" for number in range(16)]
+        held = holders("acme", rate, names)
+        shares = [
+            TokenShare(rate, rate, 1.0 / len(held) if name in held else 0.0, 0.0, BOUNDS)
+            for name in names
+        ]
+        for share in shares:
+            share.fill()
+        weights = [1.0 + (number % 4) * 0.3 for number in range(16)]
+        now, refused, asked = 0.0, 0, 0
+        while now < 60.0:
+            now += source.expovariate(rate / 1.6)
+            asked += 1
+            share = source.choices(shares, weights)[0]
+            if share.take(now):
+                continue
+            lenders = [item for item in shares if item is not share and item.share > 0]
+            for lender in source.sample(lenders, min(5, len(lenders))):
+                share.borrow(lender.lend(2.0, now))
+            refused += not share.take(now)
+        return refused, asked
+
+
+class HoldersTest(unittest.TestCase):
+    """Which nodes hold a limit."""
+
+    def test_small_limits_are_held_by_few_nodes(self) -> None:
+        names = [f"n{number}" for number in range(70)]
+        self.assertEqual(len(holders("acme", 8.0, names)), 3)
+        self.assertEqual(len(holders("acme", 400.0, names)), 70)
+
+    def test_all_nodes_agree_whatever_the_order(self) -> None:
+        names = [f"n{number}" for number in range(20)]
+        self.assertEqual(holders("acme", 20.0, names), holders("acme", 20.0, reversed(names)))
+
+    def test_a_newcomer_moves_few_holders(self) -> None:
+        names = [f"n{number}" for number in range(20)]
+        before, after = set(holders("acme", 20.0, names)), set(holders("acme", 20.0, [*names, "x"]))
+        self.assertLessEqual(len(before - after), 1)
--- /dev/null
+++ b/packages/pollenglade-core/tests/test_core/test_policy/test_traffic_policy.py
@@ -0,0 +1,84 @@
+"""Guards against requests that take the route of another prefix, host or organisation."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenglade_core.policy.traffic_policy import Organisation
+from pollenglade_core.policy.traffic_policy import Route
+from pollenglade_core.policy.traffic_policy import RoutePart
+from pollenglade_core.policy.traffic_policy import TrafficPolicy
+from pollenglade_core.policy.weighted_split import WeightedSplit
+
+
+def route(prefix: str, *parts: tuple[str, float], host: str = "a.example") -> Route:
+    """Return a route with the given prefix and parts."""
+    services = tuple(RoutePart(service, weight) for service, weight in parts or (("one", 1.0),))
+    return Route(f"{host}{prefix}", host, prefix, services, True, 1.0, 0.5, 1, 2, False)
+
+
+class MatchTest(unittest.TestCase):
+    """Look-up by host and path."""
+
+    def test_the_longest_prefix_wins(self) -> None:
+        policy = TrafficPolicy(1, [route("/a/"), route("/a/b/"), route("/", host="b.example")])
+        cases = {
+            ("a.example", "/a/x"): "a.example/a/",
+            ("a.example", "/a/b/x"): "a.example/a/b/",
+            ("a.example", "/a/b"): "a.example/a/",
+            ("b.example", "/anything"): "b.example/",
+        }
+        for (host, path), name in cases.items():
+            found = policy.match(host, path)
+            assert found is not None
+            self.assertEqual(found.name, name)
+
+    def test_no_route_for_a_part_of_a_segment_or_another_host(self) -> None:
+        policy = TrafficPolicy(1, [route("/a/")])
+        for host, path in (("a.example", "/ab"), ("a.example", "/a"), ("c.example", "/a/x")):
+            self.assertIsNone(policy.match(host, path))
+
+    @given(st.lists(st.text("ab/", max_size=6), max_size=8), st.text("ab/", max_size=10))
+    def test_agrees_with_a_plain_search(self, stems: list[str], tail: str) -> None:
+        prefixes = {("/" + stem + "/").replace("//", "/") for stem in stems}
+        policy = TrafficPolicy(1, [route(prefix) for prefix in prefixes])
+        path = "/" + tail
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = policy.match("a.example", path)
+        self.assertEqual(found.prefix if found else None, max(fitting, key=len, default=None))
+
+    def test_a_key_belongs_to_one_organisation(self) -> None:
+        acme, umbra = Organisation("acme", ("k1", "k2")), Organisation("umbra", ("k3",))
+        policy = TrafficPolicy(1, [], [acme, umbra])
+        self.assertIs(policy.organisation_of(b"k2"), acme)
+        self.assertIs(policy.organisation_of(b"k3"), umbra)
+        self.assertIsNone(policy.organisation_of(b"k4"))
+        self.assertIsNone(policy.organisation_of(b""))
+
+
+class SplitTest(unittest.TestCase):
+    """Division of requests by weight."""
+
+    def test_parts_keep_their_weight_in_short_runs(self) -> None:
+        item = route("/a/", ("one", 90), ("two", 10))
+        split = WeightedSplit(random.Random(1))
+        picks = Counter(split.pick(item) for _ in range(100))
+        self.assertAlmostEqual(picks["two"], 10, delta=1)
+
+    def test_many_nodes_with_few_requests_keep_the_weight_together(self) -> None:
+        item = route("/a/", ("one", 80), ("two", 20))
+        source = random.Random(7)
+        picks = Counter(
+            split.pick(item) for split in [WeightedSplit(source) for _ in range(600)] for _ in "ab"
+        )
+        self.assertAlmostEqual(picks["two"] / 1200, 0.2, delta=0.04)
+
+    def test_changed_parts_start_anew(self) -> None:
+        split = WeightedSplit(random.Random(1))
+        split.pick(route("/a/", ("one", 1), ("two", 1)))
+        self.assertEqual(split.pick(route("/a/", ("three", 1))), "three")
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -368,8 +368,12 @@
         timeout_s: float = 2.0,
         limit_bytes: int = MAX_RESPONSE_BYTES,
         max_idle_s: float = MAX_IDLE_S,
+        host: str | None = None,
     ) -> HttpResponse | HttpFailure:
-        """Send one request; `timeout_s` covers connecting and the whole response."""
+        """Send one request; `timeout_s` covers connecting and the whole response.
+
+        `host` takes the place of the address in the Host field.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
         connection = self._pool.take(address, max_idle_s)
@@ -379,7 +383,7 @@
                 return opened
             connection = opened
         collector = _Collector(limit_bytes)
-        fields = [(b"host", str(address).encode()), *(headers or [])]
+        fields = [(b"host", (host or str(address)).encode()), *(headers or [])]
         remaining = max(deadline - loop.time(), 0.001)
         connection.send(method, target.encode(), fields, body, collector, remaining)
         try:
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -26,6 +26,7 @@
 BODYLESS_STATUS = frozenset({204, 304})
 LISTEN_BACKLOG = 1024
 
+
 @dataclass(slots=True)
 class ServerLimits:
     """Bounds on what a caller may send and how long it may take, in bytes and seconds.
@@ -130,9 +131,7 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._limits = server.limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
-        )
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -301,8 +301,9 @@
     if not isinstance(unspent, int) or not isinstance(level, int):
         raise LinkError("feedback is not a number")
     fractions = [float(item) if isinstance(item, int | float) else 0.0 for item in numbers]
+    fraction, target_s = (*fractions, 0.0)[:2]
     usage, load = _usage_and_load(message, position + 4)
-    return Feedback(unspent, level, *fractions, usage=usage, load=load)
+    return Feedback(unspent, level, fraction, target_s, usage, load)
 
 
 def _usage_and_load(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/__init__.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon beside endpoints that need no change: routes by host and path, keys in the configuration."""
+"""The daemon beside endpoints: routes by host and path, all rules in one published policy."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -19,8 +19,8 @@
 from pollenglade_core.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.serving.endpoint_queue import EndpointQueue
-from pollenglade_core.serving.endpoint_queue import QueuedRequest
 from pollenglade_core.serving.endpoint_queue import QueueAction
+from pollenglade_core.serving.endpoint_queue import QueuedRequest
 from pollenglade_core.serving.endpoint_queue import Start
 from pollenglade_core.serving.endpoint_record import EndpointRecord
 from pollenglade_core.serving.endpoint_record import EndpointReport
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -70,10 +70,15 @@
 class FinalAnswer:
     """How a call ended, for the log and the counters."""
 
-    __slots__ = ("detail", "reason", "ran", "status", "usage")
+    __slots__ = ("detail", "ran", "reason", "status", "usage")
 
     def __init__(
-        self, status: int, reason: str, ran: bool, detail: str = "", usage: UsageByService | None = None
+        self,
+        status: int,
+        reason: str,
+        ran: bool,
+        detail: str = "",
+        usage: UsageByService | None = None,
     ) -> None:
         self.status = status
         self.reason = reason
@@ -241,9 +246,7 @@
             self.current.peer.note_result(False, monotonic())
         self._end()
         reason = "endpoint-failed" if failed else SERVED
-        self._owner.on_final(
-            self, FinalAnswer(status, reason, ran=True, usage=usage_of(feedback))
-        )
+        self._owner.on_final(self, FinalAnswer(status, reason, ran=True, usage=usage_of(feedback)))
         self._exchange.respond(status, headers, body)
 
     def on_head(self, status: int, headers: Headers) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -80,10 +80,10 @@
             source,
         )
         self._links = Links(Hello(settings.node, incarnation, settings.zone), self.serving)
-        self._view = PeerView(settings.zone)
+        self.view = PeerView(settings.zone)
         self._own_peer = Peer(settings.node, settings.zone, settings.service)
-        self._view.by_node[settings.node] = self._own_peer
-        self.peers = PeerExchange(self.member, self._links, self._view, self._state, source)
+        self.view.by_node[settings.node] = self._own_peer
+        self.peers = PeerExchange(self.member, self._links, self.view, self._state, source)
         self.policy = PolicyHolder(decode, self._links)
         self._budgets = RetryBudgets(settings.retries, monotonic())
         self._tokens = TokenDesk(
@@ -98,7 +98,7 @@
             settings.service,
             self.serving,
             self._links,
-            self._view,
+            self.view,
             self._tokens,
             self._budgets,
             self._ledger,
@@ -182,7 +182,9 @@
 
     def _keep_own_fresh(self) -> None:
         self._refresh_own()
-        self._refresh = asyncio.get_running_loop().call_later(OWN_STATE_INTERVAL_S, self._keep_own_fresh)
+        self._refresh = asyncio.get_running_loop().call_later(
+            OWN_STATE_INTERVAL_S, self._keep_own_fresh
+        )
 
     async def start(self) -> None:
         """Open the ports and take part in the mesh."""
@@ -194,7 +196,7 @@
         log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
 
     async def stop_gracefully(self) -> None:
-        """Take no new work, let running calls end, and return once nothing is left or time is up."""
+        """Take no new work and return once nothing runs any more or time is up."""
         started_at = monotonic()
         log.info("node_draining")
         self.serving.leaving = True
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
@@ -9,6 +9,9 @@
 from pollenglade_core.dispatch.retry_budget import RetryBounds
 from pollenglade_net.http_client import Address
 
+STOP_LIMIT_S = 6.0
+"""Time in seconds from SIGTERM to SIGKILL where the settings do not say it."""
+
 
 @dataclass(frozen=True, slots=True)
 class MeshSettings:
@@ -25,6 +28,6 @@
     link_address: Address
     endpoint_address: Address
     first_start: bool = False
-    stop_limit_s: float = 6.0
+    stop_limit_s: float = STOP_LIMIT_S
     allowance: AllowanceBounds = field(default_factory=AllowanceBounds)
     retries: RetryBounds = field(default_factory=RetryBounds)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -84,11 +84,11 @@
             part = 1.0 / len(names) if self._node in names else 0.0
             account = self._account_by_name.get(name)
             if account is None:
-                share = TokenShare(item.rate_per_s, item.burst, part, now)
+                share = TokenShare(item.rate_per_s, item.burst, part, now, self._bounds)
                 if self._first_start:
                     share.fill()
                 else:
-                    share.fill_after_restart(self._bounds)
+                    share.fill_after_restart()
                 self._account_by_name[name] = _Account(share, names)
                 continue
             account.share.change(item.rate_per_s, item.burst, part, now)
@@ -119,9 +119,7 @@
             account.share.give_back()
 
     def _ask(self, organisation: str, account: _Account, now: float) -> None:
-        lenders = [
-            node for node in account.holders if node != self._node and self.is_alive(node)
-        ]
+        lenders = [node for node in account.holders if node != self._node and self.is_alive(node)]
         chosen = self._source.sample(lenders, min(LENDERS, len(lenders)))
         if not chosen:
             self._settle(account, now)
--- a/tests/run.py
+++ b/tests/run.py
@@ -49,7 +49,7 @@
 
 def test_roots() -> list[Path]:
     """Return the folders whose packages hold tests."""
-    return [*sorted(ROOT.glob("packages/*/tests")), ROOT / "tests"]
+    return [*sorted(ROOT.glob("packages/*/tests")), ROOT / "platform" / "tests", ROOT / "tests"]
 
 
 def test_modules() -> list[str]:
