Discard a late extra response and wait for the one that is due

Cause: an endpoint may send a second answer to an earlier request where the next one is expected. It was taken for a failure, which costs a payment a 502 although its answer follows. The connection now remembers the tags of earlier requests. Test without the bench: every payment behind an extra answer is served (502 before).

--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -32,6 +32,9 @@
 IDLE_MARGIN_S = 0.5
 """Time in seconds before the end of a stated idle time from which a connection is not used."""
 
+EARLIER_TAGS = 16
+"""Tags of earlier requests by which a late extra response is recognised."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -83,6 +86,11 @@
         self._transport: asyncio.Transport | None = None
         self._sink: ResponseSink | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._request: h11.Request | None = None
+        self._tag = b""
+        self._tag_field = b""
+        self._earlier_tags: deque[bytes] = deque(maxlen=EARLIER_TAGS)
+        self._discarding = False
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
 
@@ -125,10 +133,14 @@
         sink: ResponseSink,
         timeout_s: float,
         validated: bool = False,
+        tag_field: bytes = b"",
+        tag: bytes = b"",
     ) -> None:
         """Send a request; the sink gets the response or the failure.
 
-        `validated` says that h11 has parsed the fields before or that they are constants.
+        `validated` says that h11 has parsed the fields before or that they are constants. Where the
+        server repeats a tag of the request in `tag_field`, a response with the tag of an earlier
+        request is discarded and the next one awaited.
         """
         assert self._transport is not None and self._sink is None
         self._sink = sink
@@ -138,6 +150,8 @@
         try:
             checked = valid_headers(fields) if validated else fields
             head = h11.Request(method=method, target=target, headers=checked)
+            self._request = head
+            self._tag_field, self._tag = tag_field, tag
             parts = [self._h11.send(head)]
             if body:
                 parts.append(self._h11.send(h11.Data(data=body)))
@@ -163,15 +177,40 @@
             if isinstance(event, h11.Response):
                 headers = list(event.headers)
                 self._note_idle_limit(headers)
-                self._sink.on_head(event.status_code, headers)
+                self._discarding = self._is_late_extra(headers)
+                if not self._discarding:
+                    self._sink.on_head(event.status_code, headers)
             elif isinstance(event, h11.Data):
-                self._sink.on_data(bytes(event.data))
+                if not self._discarding:
+                    self._sink.on_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._complete()
-                return
+                if not self._discarding:
+                    self._complete()
+                    return
+                self._await_next()
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def _is_late_extra(self, headers: Headers) -> bool:
+        if not self._tag_field or not self._earlier_tags:
+            return False
+        return any(key == self._tag_field and value in self._earlier_tags for key, value in headers)
+
+    def _await_next(self) -> None:
+        """Wait for the response that follows a discarded one."""
+        assert self._request is not None
+        following, closed = self._h11.trailing_data
+        self._discarding = False
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        # The request is out already; this only sets the state of the parser.
+        bare = h11.Request(method=self._request.method, target=b"/", headers=[(b"host", b"-")])
+        self._h11.send(bare)
+        self._h11.send(END_OF_MESSAGE)
+        if following:
+            self._h11.receive_data(following)
+        if closed:
+            self._h11.receive_data(b"")
+
     def _note_idle_limit(self, headers: Headers) -> None:
         """Learn from `Keep-Alive` how long the server keeps an idle connection open."""
         for name, value in headers:
@@ -185,6 +224,8 @@
     def _complete(self) -> None:
         sink, self._sink = self._sink, None
         self._stop_timer()
+        if self._tag:
+            self._earlier_tags.append(self._tag)
         reusable = (
             self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -123,6 +123,8 @@
             self,
             remaining_s + DEADLINE_GRACE_S,
             validated=True,
+            tag_field=names.request_id,
+            tag=self.request_id,
         )
 
     def on_head(self, status: int, headers: Headers) -> None:
