Keep the last tokens of a limit for important requests; look at idle connections together

Causes: (1) an organisation beyond its limit lost its payments as often as its least important requests, which counts as an inversion; the last 15 and 30 % of a bucket now go to priorities 0 and 1 only (test: all of priority 0 served at four times the limit). (2) A timer for each request of a connection cost more than the request's own log and counters; one look each 0.5 s replaces them. (3) Both nodes of a pair asked each other for their state; now one of them does. (4) A refusal for want of an endpoint keeps the node from being chosen until its next state.

--- a/packages/pollenglade-core/src/pollenglade_core/allowance/token_share.py
+++ b/packages/pollenglade-core/src/pollenglade_core/allowance/token_share.py
@@ -20,6 +20,10 @@
 """Holders of a small limit; the loss of one leaves most of the limit in use."""
 
 
+RESERVE_BY_PRIORITY = (0.0, 0.15, 0.3)
+"""Part of the bucket that requests of a priority leave to more important ones."""
+
+
 @dataclass(frozen=True, slots=True)
 class AllowanceBounds:
     """Bounds of the platform on the sum over all nodes; times in seconds, slack in requests."""
@@ -120,9 +124,14 @@
             self._tokens = min(ceiling, self._tokens + accrued)
         return self._tokens
 
-    def take(self, now: float) -> bool:
-        """Spend one token; return False where less than one is left."""
-        if self.tokens(now) < 1.0:
+    def take(self, now: float, priority: int = 0) -> bool:
+        """Spend one token; return False where none is left for requests of a priority.
+
+        The last part of the bucket is kept for more important requests, so that an organisation
+        beyond its limit loses its least important requests first.
+        """
+        kept = RESERVE_BY_PRIORITY[min(max(priority, 0), len(RESERVE_BY_PRIORITY) - 1)]
+        if self.tokens(now) < 1.0 + kept * self.capacity:
             return False
         self._tokens -= 1.0
         return True
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -50,6 +50,7 @@
         self.load = EndpointLoad()
         self.sent = 0
         self.heard_at = float("-inf")
+        self.asked_at = float("-inf")
         self.avoid_until = float("-inf")
         self._failure_rate = 0.0
         self._failure_at = 0.0
--- a/packages/pollenglade-core/tests/test_core/test_allowance/test_token_share.py
+++ b/packages/pollenglade-core/tests/test_core/test_allowance/test_token_share.py
@@ -115,6 +115,20 @@
         return refused, asked
 
 
+class PriorityTest(unittest.TestCase):
+    """An organisation that sends four times its limit, half of it important."""
+
+    def test_the_least_important_requests_are_refused_first(self) -> None:
+        share = TokenShare(50.0, 50.0, 1.0, 0.0, BOUNDS)
+        share.fill()
+        served = [0, 0, 0]
+        for step in range(4000):
+            priority = (0, 2, 1, 2)[step % 4]
+            served[priority] += share.take(step / 200, priority)
+        self.assertEqual(served[0], 1000)
+        self.assertLess(served[2], 400)
+
+
 class HoldersTest(unittest.TestCase):
     """Which nodes hold a limit."""
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -26,6 +26,9 @@
 BODYLESS_STATUS = frozenset({204, 304})
 LISTEN_BACKLOG = 1024
 
+EXPIRY_INTERVAL_S = 0.5
+"""Time in seconds between looks for connections whose time is up."""
+
 
 @dataclass(slots=True)
 class ServerLimits:
@@ -132,7 +135,8 @@
         self._server = server
         self._limits = server.limits
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
-        self._timer: asyncio.TimerHandle | None = None
+        self._expires_at: float | None = None
+        self._on_expiry: Callable[[], None] = self.close
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
@@ -178,11 +182,15 @@
             self._transport.pause_reading()
 
     def _set_timer(self, delay_s: float | None, callback: Callable[[], None]) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if delay_s is not None:
-            self._timer = asyncio.get_running_loop().call_later(delay_s, callback)
+        # The server looks at all connections together; a timer each costs more than a request.
+        self._expires_at = None if delay_s is None else self._server.now() + delay_s
+        self._on_expiry = callback
+
+    def check_expiry(self, now: float) -> None:
+        """Close or reject a connection whose time is up."""
+        if self._expires_at is not None and now >= self._expires_at:
+            self._expires_at = None
+            self._on_expiry()
 
     def _on_slow_head(self) -> None:
         if self.is_idle:
@@ -332,6 +340,8 @@
         self.connections: set[ServerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+        self.now = asyncio.get_running_loop().time
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port; port 0 lets the operating system choose."""
@@ -339,8 +349,16 @@
         self._server = await loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG
         )
+        self._check_expiry()
         return int(self._server.sockets[0].getsockname()[1])
 
+    def _check_expiry(self) -> None:
+        now = self.now()
+        for connection in list(self.connections):
+            connection.check_expiry(now)
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(EXPIRY_INTERVAL_S, self._check_expiry)
+
     def drain(self) -> None:
         """Let each connection close after its next response."""
         self.draining = True
@@ -353,6 +371,8 @@
     async def close(self) -> None:
         """Stop listening and close all connections after pending data has been written."""
         self.stop_listening()
+        if self._sweep is not None:
+            self._sweep.cancel()
         for connection in list(self.connections):
             connection.close()
         await asyncio.sleep(0)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -177,7 +177,11 @@
         if call.organisation is None:
             call.start()
             return
-        self._tokens.acquire(call.organisation.name, lambda granted: self._on_token(call, granted))
+        self._tokens.acquire(
+            call.organisation.name,
+            call.route.priority,
+            lambda granted: self._on_token(call, granted),
+        )
 
     def _ledger_refusal(self, call: MeshCall, now: float) -> Refusal | None:
         context = CallContext(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -304,6 +304,9 @@
             if self.attempts >= self.route.max_attempts or not self._owner.may_repeat(self):
                 self._finish_refused(refusal)
                 return
+        if refusal.reason in (Reason.NO_TARGET, Reason.DRAINING):
+            # The node tells its new state to all peers; until it arrives, nothing more is sent.
+            peer.ready = False
         final = refusal.reason in (Reason.DEADLINE, Reason.QUARANTINED, Reason.BAD_REQUEST)
         if final or self.placements >= MAX_PLACEMENTS:
             self._finish_refused(refusal)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -196,7 +196,7 @@
     def _send(self, node: str, force: bool = False) -> None:
         if node == self._own.node or node not in self.member_by_node:
             return
-        if node in self._asking and not force:
+        if not force and (node in self._asking or self._leaves_it_to(node)):
             return
         self._asking.add(node)
 
@@ -210,6 +210,13 @@
 
         self._links.ask_node(node, STATE_TOPIC, self._state().to_wire(), on_answer)
 
+    def _leaves_it_to(self, node: str) -> bool:
+        """Whether the peer is the one of the two that asks, and does so."""
+        peer = self._view.by_node.get(node)
+        if peer is None or node > self._own.node:
+            return False
+        return monotonic() - peer.asked_at < 2 * self._period_s()
+
     def _on_silence(self, node: str) -> None:
         peer = self._view.by_node.get(node)
         if peer is None:
@@ -225,6 +232,9 @@
         state = NodeState.from_wire(payload)
         if state is not None:
             self.apply(state)
+            peer = self._view.by_node.get(state.member.node)
+            if peer is not None:
+                peer.asked_at = monotonic()
         answer(self._state().to_wire())
 
     def apply(self, state: NodeState) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
+from operator import itemgetter
 from time import monotonic
 
 from pollenglade_core.allowance.holders import holders
@@ -37,7 +38,7 @@
     def __init__(self, share: TokenShare, names: tuple[str, ...]) -> None:
         self.share = share
         self.holders = names
-        self.waiting: deque[Callable[[bool], None]] = deque()
+        self.waiting: deque[tuple[int, Callable[[bool], None]]] = deque()
         self.dry_until = 0.0
         self.round = 0
         self.open_asks = 0
@@ -94,21 +95,21 @@
             account.share.change(item.rate_per_s, item.burst, part, now)
             account.holders = names
 
-    def acquire(self, organisation: str, done: Callable[[bool], None]) -> None:
-        """Take one token; `done` is called at once or after a loan."""
+    def acquire(self, organisation: str, priority: int, done: Callable[[bool], None]) -> None:
+        """Take one token for a request; `done` is called at once or after a loan."""
         account = self._account_by_name.get(organisation)
         if account is None:
             done(True)
             return
         now = monotonic()
         account.count(now)
-        if not account.waiting and account.share.take(now):
+        if not account.waiting and account.share.take(now, priority):
             done(True)
             return
         if now < account.dry_until:
             done(False)
             return
-        account.waiting.append(done)
+        account.waiting.append((priority, done))
         if len(account.waiting) == 1:
             self._ask(organisation, account, now)
 
@@ -149,8 +150,8 @@
     def _settle(self, account: _Account, now: float) -> None:
         account.round += 1
         waiting, account.waiting = account.waiting, deque()
-        for done in waiting:
-            granted = account.share.take(now)
+        for priority, done in sorted(waiting, key=itemgetter(0)):
+            granted = account.share.take(now, priority)
             if not granted:
                 account.dry_until = now + DRY_S
             done(granted)
