Admit new requests by the slots that their trees occupy; parse with h11, write directly

The queue at the end shows an overload only a tree's length after admission. Each request under way now counts with the slots that its tree occupies on average, exchanged with the state of a node; trees that would rarely finish are refused before any work. Whole messages are now written without the sending states of h11.

--- a/packages/pollenglade-core/src/pollenglade_core/call.py
+++ b/packages/pollenglade-core/src/pollenglade_core/call.py
@@ -16,7 +16,8 @@
     """What a node knows about a call; never contains a key.
 
     `deadline` and `objective_at`, the end of the latency objective, are in seconds on the monotonic
-    clock of the node that holds the context. `nested` calls were made by a run of another call.
+    clock of the node that holds the context. `nested` calls were made by a run of another call. Of
+    two calls the one with the smaller `rank` goes first.
     """
 
     call_id: str
@@ -33,6 +34,7 @@
     crash_count: int = 0
     objective_at: float = 0.0
     nested: bool = False
+    rank: int = 0
 
     def with_allowance(self, allowance: RetryAllowance) -> CallContext:
         """Return a copy with another retry allowance.
@@ -54,6 +56,7 @@
             self.crash_count,
             self.objective_at,
             self.nested,
+            self.rank,
         )
 
     def remaining_s(self, now: float) -> float:
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 SILENT_S = 3.0
@@ -30,12 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLoad:
-    """Load of an endpoint as its node reports it; `expected_s` is the time at the endpoint."""
+    """Load of an endpoint as its node reports it.
+
+    `expected_s` is the time at the endpoint, `failure_rate` the recent part of the requests that it
+    rejected or did not answer.
+    """
 
     running: int = 0
     waiting: int = 0
     limit: int = 1
     expected_s: float = 0.05
+    failure_rate: float = 0.0
 
 
 class Peer:
@@ -49,6 +55,7 @@
         self.endpoint_id = ""
         self.load = EndpointLoad()
         self.sent = 0
+        self.occupied_by_service: Mapping[str, float] = {}
         self.heard_at = float("-inf")
         self.asked_at = float("-inf")
         self.avoid_until = float("-inf")
@@ -107,10 +114,23 @@
         chosen.sent += 1
         return chosen
 
-    def wait_s(self, service: str, now: float) -> float | None:
-        """Return the shortest expected queue time of a service; None where none is usable."""
-        usable = (peer.wait_s() for peer in self.of_service(service) if peer.is_usable(now))
-        return min(usable, default=None)
+    def slots(self, service: str, now: float) -> float:
+        """Return the slots of the usable endpoints of a service."""
+        return sum(peer.load.limit for peer in self.of_service(service) if peer.is_usable(now))
+
+    def committed(self, service: str, now: float, own_node: str) -> float:
+        """Return the slots that requests of other reachable nodes occupy on average."""
+        return sum(
+            peer.occupied_by_service.get(service, 0.0)
+            for peer in self.by_node.values()
+            if peer.node != own_node and now - peer.heard_at < SILENT_S
+        )
+
+    def failure_rate(self, service: str, now: float) -> float:
+        """Return the failure rate of a service, its endpoints weighted by their slots."""
+        loads = [peer.load for peer in self.of_service(service) if peer.is_usable(now)]
+        slots = sum(load.limit for load in loads)
+        return sum(load.failure_rate * load.limit for load in loads) / slots if slots else 0.0
 
     def keep_only(self, nodes: Iterable[str]) -> None:
         """Forget nodes that are not members any more."""
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/retry_budget.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/retry_budget.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-SAFETY = 0.5
+SAFETY = 0.75
 """Part of the allowed repeats that is used; the rest covers repeats that are not seen here."""
 
 
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -22,6 +22,9 @@
 EXPECTED_WEIGHT = 0.05
 """Weight of a new measurement in the moving average of the time at the endpoint."""
 
+FAILURE_WEIGHT = 0.05
+"""Weight of one result in the moving average of failures."""
+
 FULL_PART = 0.95
 """Part of the slots that is used; endpoints slow down where all of them are taken."""
 
@@ -73,6 +76,7 @@
         self._heap: list[tuple[bool, int, float, int, QueuedRequest]] = []
         self._serial = 0
         self._expected_s = EXPECTED_S
+        self._failure_rate = 0.0
 
     @property
     def running(self) -> int:
@@ -89,6 +93,15 @@
         """Expected time at the endpoint in seconds."""
         return self._expected_s
 
+    @property
+    def failure_rate(self) -> float:
+        """Recent part of the requests that the endpoint rejected or did not answer."""
+        return self._failure_rate
+
+    def note_result(self, failed: bool) -> None:
+        """Learn from the result of a request."""
+        self._failure_rate += ((1.0 if failed else 0.0) - self._failure_rate) * FAILURE_WEIGHT
+
     @property
     def wait_s(self) -> float:
         """Expected time in the queue of a request that arrives now, in seconds."""
--- a/packages/pollenglade-net/src/pollenglade_net/http_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_message.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import StrEnum
+from http import HTTPStatus
 
 import h11
 import orjson
@@ -99,6 +100,12 @@
 """Shared by all messages; building one validates its empty list of trailers each time."""
 
 
+_STATUS_LINES = {
+    int(status): b"HTTP/1.1 %d %b\r\n" % (int(status), status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
 def valid_headers(headers: Headers) -> H11Headers:
     """Wrap fields that h11 has parsed before or that this program wrote itself.
 
@@ -108,6 +115,29 @@
     return H11Headers([(name, name, value) for name, value in headers])
 
 
+def fields_of(headers: H11Headers) -> Headers:
+    """Return the fields that h11 has parsed, with lower-case names.
+
+    Iterating over the headers of h11 costs several times as much.
+    """
+    return [(name.lower(), value) for name, value in headers.raw_items()]
+
+
+def encode_fields(first_line: bytes, headers: Headers) -> bytes:
+    """Return the head of a message from fields that h11 has parsed or that are constants."""
+    parts = [first_line]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of a response."""
+    line = _STATUS_LINES.get(status)
+    return line if line is not None else b"HTTP/1.1 %d \r\n" % status
+
+
 def json_response(status: int, document: object, headers: Headers | None = None) -> HttpResponse:
     """Return a response with a JSON body."""
     fields = [(b"content-type", b"application/json"), *(headers or [])]
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -18,6 +18,9 @@
 from .http_message import Headers
 from .http_message import HttpRequest
 from .http_message import HttpResponse
+from .http_message import encode_fields
+from .http_message import fields_of
+from .http_message import status_line
 from .http_message import valid_headers
 
 PIPELINE_LIMIT_BYTES = 64 * 1024
@@ -80,11 +83,10 @@
         fields = [item for item in headers if item[0] != b"content-length"]
         if status not in BODYLESS_STATUS:
             fields.append((b"content-length", b"%d" % len(body)))
-        parts = [connection.head(status, fields)]
-        if body and self._method != "HEAD" and status not in BODYLESS_STATUS:
-            parts.append(connection.encode(h11.Data(data=body)))
-        parts.append(connection.encode(END_OF_MESSAGE))
-        self._finish(connection, b"".join(parts))
+        if self._method == "HEAD" or status in BODYLESS_STATUS:
+            body = b""
+        self._connection = None
+        connection.respond(status, fields, body)
 
     def start(self, status: int, headers: Headers) -> None:
         """Send the head of a streamed response."""
@@ -134,11 +136,12 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._limits = server.limits
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
+        self._h11 = self._new_parser()
         self._expires_at: float | None = None
         self._on_expiry: Callable[[], None] = self.close
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
+        self._fields: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._exchange: Exchange | None = None
@@ -241,11 +244,12 @@
 
     def _begin(self, event: h11.Request) -> bool:
         limit = self._limits.head_bytes
-        if sum(len(key) + len(value) for key, value in event.headers) > limit:
+        self._fields = fields_of(event.headers)
+        if sum([len(key) + len(value) for key, value in self._fields]) > limit:
             # h11 limits a head only while it is incomplete.
             self.reject(431, f"the head is larger than {limit} bytes; send less")
             return False
-        names = {key for key, _ in event.headers}
+        names = {key for key, _ in self._fields}
         if b"content-length" in names and b"transfer-encoding" in names:
             # Two framings of one body let a request hide behind another.
             self.reject(400, "send either Content-Length or Transfer-Encoding, not both")
@@ -262,7 +266,7 @@
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         self._request = None
         self._body = []
-        request = HttpRequest(event.method.decode(), event.target, list(event.headers), body)
+        request = HttpRequest(event.method.decode(), event.target, self._fields, body)
         exchange = Exchange(self, request)
         self._exchange = exchange
         self._server.handler(exchange)
@@ -282,6 +286,30 @@
         if self._transport is not None and data:
             self._transport.write(data)
 
+    def respond(self, status: int, fields: Headers, body: bytes) -> None:
+        """Send a whole response whose fields need no check, and take the next request.
+
+        The framing is a length, so h11 only parses here; its states for sending cost as much as
+        the parsing of the request.
+        """
+        whole = self._h11.their_state is h11.DONE
+        closing = self._server.draining or not whole
+        if closing:
+            fields.append((b"connection", b"close"))
+        self.write(encode_fields(status_line(status), fields) + body)
+        self._exchange = None
+        if closing:
+            self.close()
+            return
+        following, _ = self._h11.trailing_data
+        self._h11 = self._new_parser()
+        if following:
+            self._h11.receive_data(following)
+        self._await_request(bool(following))
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
+
     def finish_cycle(self) -> None:
         """Make the connection ready for the next request, or close it."""
         self._exchange = None
@@ -289,15 +317,18 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._await_request(bool(self._h11.trailing_data[0]))
+
+    def _await_request(self, has_data: bool) -> None:
         if self._transport is None:
             return
-        if self._eof and not self._h11.trailing_data[0]:
+        if self._eof and not has_data:
             self.close()
             return
         if not self._eof:
             self._transport.resume_reading()
         self._set_timer(self._limits.idle_timeout_s, self.close)
-        if self._h11.trailing_data[0]:
+        if has_data:
             # A fresh turn of the loop bounds the stack depth of pipelined requests.
             asyncio.get_running_loop().call_soon(self._advance)
 
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -149,6 +149,7 @@
         context.crash_count,
         int((context.objective_at - now) * 1000),
         context.nested,
+        context.rank,
     ]
     return pack(
         [
@@ -175,9 +176,9 @@
     fields = _fields(wire, 12, str, str, str, str, int, int, int, int, int, bool, str, int)
     call_id, organisation, profile, service, importance, remaining_ms = fields[:6]
     allowance, weight, depth, idempotent, fingerprint, crash_count = fields[6:]
-    objective_ms, nested = wire[13:15] if len(wire) >= 15 else (remaining_ms, False)
-    if not isinstance(objective_ms, int):
-        raise LinkError("the latency objective of a call is not a whole number")
+    objective_ms, nested, rank = wire[13:16] if len(wire) >= 16 else (remaining_ms, False, 0)
+    if not isinstance(objective_ms, int) or not isinstance(rank, int):
+        raise LinkError("the latency objective or the rank of a call is not a whole number")
     try:
         level = Importance(importance)
     except ValueError:
@@ -197,6 +198,7 @@
         crash_count=crash_count,
         objective_at=now + objective_ms / 1000,
         nested=nested is True,
+        rank=rank,
     )
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -45,11 +45,14 @@
         """Id of the endpoint beside this node."""
 
     def load(self) -> tuple[float, ...]:
-        """Return running, waiting, limit and expected seconds for the entry node."""
+        """Return running, waiting, limit, expected seconds and failure rate."""
 
     def connect(self, call: EndpointCall) -> None:
         """Open a connection for a call that was started."""
 
+    def note_result(self, failed: bool) -> None:
+        """Learn whether the endpoint itself failed a request."""
+
     def on_ended(self, call: EndpointCall, completed: bool) -> None:
         """Free what a call holds."""
 
@@ -176,6 +179,8 @@
             sink.on_end(self._end(completed=True))
             return
         refusal = check_response(self._owner.names, self.request_id, self._status, self._headers)
+        failed = refusal is not None or self._status >= 500
+        self._owner.note_result(failed and not self.nested_failed)
         if refusal is not None:
             if self._status == 421:
                 self._owner.on_wrong_endpoint()
@@ -196,6 +201,7 @@
             self._fail(Refusal(Reason.TIMEOUT, Outcome.UNKNOWN, None, failure.detail))
         elif failure.sent:
             refusal = Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, None, failure.detail)
+            self._owner.note_result(failed=True)
             self._owner.on_broken(self, refusal)
         else:
             self.fail(Refusal(Reason.NO_TARGET, Outcome.NOT_RUN, None, failure.detail))
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -45,9 +45,6 @@
 PROBE_TIMEOUT_S = 0.5
 """Time limits in seconds for a connection to the endpoint on the same host."""
 
-IMPORTANCE_LEVELS = 3
-"""Largest importance; the queue orders by priority, where 0 is the most important."""
-
 log = structlog.get_logger()
 
 
@@ -105,9 +102,15 @@
         return bool(self._call_by_id)
 
     def load(self) -> tuple[float, ...]:
-        """Return running, waiting, limit and expected seconds at the endpoint."""
+        """Return running, waiting, limit, expected seconds and failure rate of the endpoint."""
         queue = self._queue
-        return (queue.running, queue.waiting, queue.limit, round(queue.expected_s, 5))
+        return (
+            queue.running,
+            queue.waiting,
+            queue.limit,
+            round(queue.expected_s, 5),
+            round(queue.failure_rate, 3),
+        )
 
     def apply(self, report: EndpointReport) -> ReportResult:
         """Apply a heartbeat of the endpoint."""
@@ -171,7 +174,7 @@
         queued = QueuedRequest(
             context.call_id,
             context.nested,
-            IMPORTANCE_LEVELS - context.importance,
+            context.rank,
             context.deadline,
             context.objective_at,
         )
@@ -253,6 +256,10 @@
         else:
             self._carry_out(self._queue.cancel(call_id, now))
 
+    def note_result(self, failed: bool) -> None:
+        """Learn whether the endpoint itself failed a request."""
+        self._queue.note_result(failed)
+
     def on_wrong_endpoint(self) -> None:
         """Stop sending to an endpoint whose address another one has taken."""
         self._mark_down("another endpoint has the address")
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from hashlib import blake2b
 from time import monotonic
 
-import structlog
-
 from pollenglade_core.call import CallContext
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
-from pollenglade_core.dispatch.root_admission import admits
-from pollenglade_core.dispatch.root_admission import retry_after_s
-from pollenglade_core.dispatch.root_admission import tree_delay
+from pollenglade_core.dispatch.tree_admission import TreeAdmission
 from pollenglade_core.dispatch.tree_cost import TreeCosts
 from pollenglade_core.outcome import Outcome
 from pollenglade_core.outcome import Reason
@@ -48,7 +45,29 @@
 OVER_RATE_RETRY_S = 1.0
 """Delay in seconds that a request beyond its organisation's rate is asked for, before jitter."""
 
-log = structlog.get_logger()
+RANKS = 16
+"""Priorities of routes within one priority of organisations."""
+
+
+class ViewLoad:
+    """Load of the services as this node sees it at one moment."""
+
+    def __init__(self, view: PeerView, own_node: str, now: float) -> None:
+        self._view = view
+        self._own_node = own_node
+        self._now = now
+
+    def slots(self, service: str) -> float:
+        """Return the slots of all usable endpoints."""
+        return self._view.slots(service, self._now)
+
+    def committed(self, service: str) -> float:
+        """Return the slots that requests of other nodes occupy on average."""
+        return self._view.committed(service, self._now, self._own_node)
+
+    def failure_rate(self, service: str) -> float:
+        """Return the part of the calls that fail or are rejected at the service."""
+        return self._view.failure_rate(service, self._now)
 
 
 class MeshEntry:
@@ -79,10 +98,16 @@
         self._source = source
         self._split = WeightedSplit(source)
         self._costs = TreeCosts()
+        self._admission = TreeAdmission()
         self._dropped = names.set_by_node | FRAMING_FIELDS
         self._open_calls = 0
         self.policy: TrafficPolicy | None = None
 
+    @property
+    def occupied_by_service(self) -> Mapping[str, float]:
+        """Slots that the requests of this node occupy on average."""
+        return self._admission.occupied_by_service
+
     @property
     def is_busy(self) -> bool:
         """Whether requests wait for their answer."""
@@ -132,9 +157,14 @@
             time_s = min(time_s, int(stated[:12]) / 1000)
         parent_id, separator, _ = request_id.rpartition(".")
         parent = self._serving.running_call(parent_id.encode("latin-1")) if separator else None
-        priority = route.priority
+        nested = parent is not None or (organisation is None and bool(separator))
+        objective_at = now + min(time_s, route.objective_s)
+        rank = route.priority * (RANKS + 1)
         if organisation is not None and organisation.priority is not None:
-            priority = organisation.priority
+            # The priority of the organisation goes before that of the route.
+            rank = organisation.priority * RANKS + route.priority
+        if parent is not None:
+            rank, objective_at = parent.context.rank, parent.context.objective_at
         return MeshCall(
             self,
             exchange,
@@ -143,12 +173,12 @@
             route,
             self._split.pick(route),
             organisation,
-            priority,
+            rank,
             now + time_s,
-            now + min(time_s, route.objective_s),
+            objective_at,
             self._fingerprint(request),
             parent,
-            nested=parent is not None or (organisation is None and bool(separator)),
+            nested,
         )
 
     def _forwarded(self, request: HttpRequest, organisation: Organisation | None) -> HttpRequest:
@@ -169,13 +199,15 @@
         return digest.hexdigest()
 
     def _admit(self, call: MeshCall, now: float) -> None:
-        refusal = self._ledger_refusal(call, now) or self._load_refusal(call, now)
+        refusal = self._ledger.check(call.context, now, self._source) or self._load_refusal(
+            call, now
+        )
         if refusal is not None:
             call.refuse(refusal)
             return
         self._budgets.on_request(call.service, now)
         if call.organisation is None:
-            call.start()
+            self._start(call)
             return
         self._tokens.acquire(
             call.organisation.name,
@@ -183,44 +215,35 @@
             lambda granted: self._on_token(call, granted),
         )
 
-    def _ledger_refusal(self, call: MeshCall, now: float) -> Refusal | None:
-        context = CallContext(
-            call.request_id,
-            "",
-            "",
-            call.service,
-            call.importance,
-            call.deadline,
-            call.allowance(),
-            fingerprint=call.fingerprint,
-        )
-        return self._ledger.check(context, now, self._source)
-
     def _load_refusal(self, call: MeshCall, now: float) -> Refusal | None:
         if call.nested:
             return None
-        usage = self._costs.of(call.route.name)
-        delay = tree_delay(call.service, usage, lambda name: self._view.wait_s(name, now))
-        if admits(call.route, call.route.priority, delay):
-            return None
-        detail = f"{delay.service} has {delay.total_s * 1000:.0f} ms of queue along the tree"
-        return Refusal(
-            Reason.OVERLOADED,
-            Outcome.NOT_RUN,
-            retry_after_s(delay, self._source.random()),
-            detail,
+        route = call.route
+        load = ViewLoad(self._view, self._links.hello.node, now)
+        usage = self._costs.of(route.name)
+        refusal = self._admission.check(
+            route.name, route.priority, usage, load, self._source.random()
         )
+        if refusal is None:
+            return None
+        return Refusal(Reason.OVERLOADED, Outcome.NOT_RUN, refusal.retry_after_s, str(refusal))
 
     def _on_token(self, call: MeshCall, granted: bool) -> None:
         if call.is_done:
             return
         if granted:
             call.has_token = True
-            call.start()
+            self._start(call)
             return
         delay_s = jittered(OVER_RATE_RETRY_S, self._source)
         call.refuse(Refusal(Reason.OVER_RATE, Outcome.NOT_RUN, delay_s))
 
+    def _start(self, call: MeshCall) -> None:
+        if not call.nested:
+            route = call.route.name
+            self._admission.begin(call.request_id, route, self._costs.of(route))
+        call.start()
+
     def choose(self, call: MeshCall) -> Peer | None:
         """Return the endpoint for the next attempt of a call."""
         return self._view.choose(call.service, monotonic(), call.excluded)
@@ -250,8 +273,11 @@
         self._open_calls -= 1
         if call.has_token and not final.ran and call.organisation is not None:
             self._tokens.give_back(call.organisation.name)
+        if not call.nested:
+            self._admission.end(call.request_id)
         if final.usage and final.status < 400:
             self._costs.learn(call.route.name, final.usage)
+            self._admission.learn(call.route.name, monotonic() - call.started_at)
         if call.parent is not None:
             call.parent.add_nested(final.usage, failed=not 0 < final.status < 400)
         self._request_log.on_final(call, final)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -36,7 +36,7 @@
 MIN_TRY_S = 0.02
 """Time in seconds that must be left for another attempt."""
 
-LOAD_FIELDS = 4
+LOAD_FIELDS = 5
 
 RETRY_LATER_STATUS = frozenset({429, 503})
 
@@ -129,8 +129,10 @@
 
     def _note(self, feedback: Feedback) -> None:
         if len(feedback.load) >= LOAD_FIELDS:
-            running, waiting, limit, expected_s = feedback.load[:LOAD_FIELDS]
-            load = EndpointLoad(int(running), int(waiting), max(1, int(limit)), expected_s)
+            running, waiting, limit, expected_s, failure_rate = feedback.load[:LOAD_FIELDS]
+            load = EndpointLoad(
+                int(running), int(waiting), max(1, int(limit)), expected_s, failure_rate
+            )
             self.peer.report(load, monotonic())
 
 
@@ -146,7 +148,7 @@
         route: Route,
         service: str,
         organisation: Organisation | None,
-        priority: int,
+        rank: int,
         deadline: float,
         objective_at: float,
         fingerprint: str,
@@ -160,7 +162,7 @@
         self.route = route
         self.service = service
         self.organisation = organisation
-        self.priority = priority
+        self.rank = rank
         self.deadline = deadline
         self.objective_at = objective_at
         self.fingerprint = fingerprint
@@ -179,6 +181,7 @@
         self._owed_credit = 0
         self._timer: asyncio.TimerHandle | None = None
         self._last_refusal = Refusal(Reason.NO_TARGET)
+        self.context = self._new_context()
 
     @property
     def endpoint_node(self) -> str:
@@ -201,39 +204,41 @@
         self.attempts += 1
         result = AttemptResult(self, peer)
         self.current = result
-        attempt = self._owner.send(peer, self._context(), self._request, result)
+        attempt = self._owner.send(peer, self._attempt_context(), self._request, result)
         if attempt is None:
             self.on_refusal(Refusal(Reason.LINK_FAILED), Feedback())
         elif self.current is result:
             self._attempt = attempt
 
-    @property
-    def importance(self) -> Importance:
-        """Importance by which endpoints order their queues."""
-        return Importance(max(0, min(Importance.CRITICAL, Importance.CRITICAL - self.priority)))
-
-    def allowance(self) -> RetryAllowance:
-        """Return how many further attempts the request may have."""
-        left = self.route.max_attempts - self.attempts if self.route.repeatable else 0
-        return RetryAllowance(max(0, left))
-
-    def _context(self) -> CallContext:
-        suffix = f"#{self.placements}" if self.placements > 1 else ""
+    def _new_context(self) -> CallContext:
+        level = Importance.CRITICAL - self.route.priority
         return CallContext(
-            call_id=self.request_id + suffix,
+            call_id=self.request_id,
             organisation=self.organisation.name if self.organisation is not None else "",
             profile="",
             service=self.service,
-            importance=self.importance,
+            importance=Importance(max(0, min(Importance.CRITICAL, level))),
             deadline=self.deadline,
-            allowance=self.allowance(),
+            allowance=RetryAllowance(self._attempts_left()),
             depth=2 if self.nested else 1,
             idempotent=self.route.repeatable,
             fingerprint=self.fingerprint,
             objective_at=self.objective_at,
             nested=self.nested,
+            rank=self.rank,
         )
 
+    def _attempts_left(self) -> int:
+        left = self.route.max_attempts - self.attempts if self.route.repeatable else 0
+        return max(0, left)
+
+    def _attempt_context(self) -> CallContext:
+        context = self.context
+        if self.placements > 1:
+            # A node knows a call by its id, and an earlier attempt may still be there.
+            context.call_id = f"{self.request_id}#{self.placements}"
+        return context.with_allowance(RetryAllowance(self._attempts_left()))
+
     def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
         """Pass a whole response on, or repeat one in which the endpoint itself failed."""
         assert self.current is not None
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -130,13 +130,14 @@
         return self.policy.current is not None and not self.serving.leaving
 
     def _state(self) -> NodeState:
-        running, waiting, limit, expected_s = self.serving.load()
+        running, waiting, limit, expected_s, failure_rate = self.serving.load()
         return NodeState(
             self.member,
             self.serving.is_available,
             self.serving.endpoint_id,
-            EndpointLoad(int(running), int(waiting), int(limit), expected_s),
+            EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate),
             self.policy.version,
+            self._entry.occupied_by_service,
         )
 
     def _on_policy(self, policy: TrafficPolicy) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -6,7 +6,9 @@
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from time import monotonic
 
 import structlog
@@ -54,6 +56,7 @@
     endpoint_id: str
     load: EndpointLoad
     policy_version: int
+    occupied_by_service: Mapping[str, float] = field(default_factory=dict)
 
     def to_wire(self) -> list[object]:
         """Return the state as a list for the link."""
@@ -66,8 +69,9 @@
             member.incarnation,
             self.ready,
             self.endpoint_id,
-            [load.running, load.waiting, load.limit, load.expected_s],
+            [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate],
             self.policy_version,
+            {name: round(slots, 2) for name, slots in self.occupied_by_service.items()},
         ]
 
     @classmethod
@@ -82,13 +86,27 @@
                 int(incarnation),
                 bool(ready),
                 str(endpoint_id),
-                [int(running), int(waiting), int(limit), float() | int() as expected_s],
+                [
+                    int(running),
+                    int(waiting),
+                    int(limit),
+                    float() | int() as expected_s,
+                    float() | int() as failure_rate,
+                ],
                 int(version),
+                dict(occupied),
                 *_,
             ]:
                 member = MeshMember(node, zone, service, address, incarnation)
-                load = EndpointLoad(running, waiting, max(1, limit), float(expected_s))
-                return cls(member, ready, endpoint_id, load, version)
+                load = EndpointLoad(
+                    running, waiting, max(1, limit), float(expected_s), float(failure_rate)
+                )
+                slots_by_service = {
+                    name: float(slots)
+                    for name, slots in occupied.items()
+                    if isinstance(name, str) and isinstance(slots, int | float)
+                }
+                return cls(member, ready, endpoint_id, load, version, slots_by_service)
         return None
 
 
@@ -249,6 +267,7 @@
             return
         peer.ready = state.ready
         peer.endpoint_id = state.endpoint_id
+        peer.occupied_by_service = state.occupied_by_service
         peer.report(state.load, monotonic())
         if self.unreachable_since.pop(node, None) is not None:
             peer.avoid_until = float("-inf")
