--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from .tree_admission import SlotUse
+
 SILENT_S = 3.0
 """Age in seconds of the latest sign of life from which a node is not chosen any more."""
 
@@ -55,7 +57,7 @@
         self.endpoint_id = ""
         self.load = EndpointLoad()
         self.sent = 0
-        self.occupied_by_service: Mapping[str, float] = {}
+        self.use_by_service: Mapping[str, SlotUse] = {}
         self.heard_at = float("-inf")
         self.asked_at = float("-inf")
         self.avoid_until = float("-inf")
@@ -118,13 +120,15 @@
         """Return the slots of the usable endpoints of a service."""
         return sum(peer.load.limit for peer in self.of_service(service) if peer.is_usable(now))
 
-    def committed(self, service: str, now: float, own_node: str) -> float:
-        """Return the slots that requests of other reachable nodes occupy on average."""
-        return sum(
-            peer.occupied_by_service.get(service, 0.0)
-            for peer in self.by_node.values()
-            if peer.node != own_node and now - peer.heard_at < SILENT_S
-        )
+    def slot_use(self, service: str, now: float, own_node: str) -> SlotUse:
+        """Return the sum of what the other reachable nodes tell about a service."""
+        occupied = offered = 0.0
+        for peer in self.by_node.values():
+            use = peer.use_by_service.get(service)
+            if use is not None and peer.node != own_node and now - peer.heard_at < SILENT_S:
+                occupied += use.occupied
+                offered += use.offered
+        return SlotUse(occupied, offered)
 
     def failure_rate(self, service: str, now: float) -> float:
         """Return the failure rate of a service, its endpoints weighted by their slots."""
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -5,12 +5,17 @@
 admitted. So each request that is under way counts with the slots that its tree occupies on average
 at every service, and a new one is refused before any work is done where the slots of a service on
 its tree are spoken for, or where calls at a service fail so often that the tree would not finish.
+
+Nodes tell each other two averages for each service: the slots that their trees occupy and the slots
+that their clients ask for. A node refuses only what exceeds its part of the slots by that demand,
+because the figures of the others are old: by them alone all nodes would refuse and admit in turn.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import exp
 from typing import Protocol
 
 from .tree_cost import UsageByService
@@ -28,6 +33,10 @@
 MIN_RESIDENCE_S = 0.005
 """Lower bound in seconds on the time of a tree, against a division by nearly zero."""
 
+OCCUPIED_AVERAGE_S = 0.3
+OFFERED_AVERAGE_S = 1.0
+"""Time constants in seconds of the averages of occupied and of demanded slots."""
+
 RETRY_AFTER_MIN_S = 0.25
 RETRY_AFTER_MAX_S = 2.0
 """Bounds in seconds on the delay that a refused caller is asked for."""
@@ -35,14 +44,53 @@
 UNKNOWN_SLOTS = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotUse:
+    """Slots of a service that trees occupy, and that clients ask for, on average."""
+
+    occupied: float = 0.0
+    offered: float = 0.0
+
+
+class _Account:
+    """Trees of this node at one service."""
+
+    def __init__(self) -> None:
+        self.occupied = 0.0
+        self._average = 0.0
+        self._offered = 0.0
+        self._occupied_at = 0.0
+        self._offered_at = 0.0
+
+    def add(self, slots: float, now: float) -> None:
+        self._follow(now)
+        self.occupied = max(0.0, self.occupied + slots)
+
+    def offer(self, slot_s: float, now: float) -> None:
+        self._offered = self._offered_now(now) + slot_s / OFFERED_AVERAGE_S
+        self._offered_at = now
+
+    def use(self, now: float) -> SlotUse:
+        self._follow(now)
+        return SlotUse(self._average, self._offered_now(now))
+
+    def _follow(self, now: float) -> None:
+        kept = exp((self._occupied_at - now) / OCCUPIED_AVERAGE_S)
+        self._average = self.occupied + (self._average - self.occupied) * kept
+        self._occupied_at = now
+
+    def _offered_now(self, now: float) -> float:
+        return self._offered * exp((self._offered_at - now) / OFFERED_AVERAGE_S)
+
+
 class ServiceLoad(Protocol):
     """What is known of the services at the moment."""
 
     def slots(self, service: str) -> float:
         """Return the slots of all usable endpoints; 0 where nothing is known."""
 
-    def committed(self, service: str) -> float:
-        """Return the slots that requests of other nodes occupy on average."""
+    def others(self, service: str) -> SlotUse:
+        """Return the sum of what the other reachable nodes tell."""
 
     def failure_rate(self, service: str) -> float:
         """Return the part of the calls that fail or are rejected at the service."""
@@ -70,13 +118,12 @@
 
     def __init__(self) -> None:
         self._residence_by_route: dict[str, float] = {}
-        self._occupied_by_service: dict[str, float] = {}
+        self._account_by_service: dict[str, _Account] = {}
         self._occupied_by_request: dict[str, Mapping[str, float]] = {}
 
-    @property
-    def occupied_by_service(self) -> Mapping[str, float]:
-        """Slots that the requests of this node occupy on average."""
-        return self._occupied_by_service
+    def use_by_service(self, now: float) -> dict[str, SlotUse]:
+        """Return what this node tells the others."""
+        return {service: item.use(now) for service, item in self._account_by_service.items()}
 
     def occupancy(self, route: str, usage: UsageByService) -> dict[str, float]:
         """Return the slots that one undisturbed request of a route occupies on average."""
@@ -85,19 +132,23 @@
             return {}
         return {service: item.slot_s / residence_s for service, item in usage.items()}
 
-    def begin(self, request: str, route: str, usage: UsageByService) -> None:
+    def begin(self, request: str, route: str, usage: UsageByService, now: float) -> None:
         """Count a request that was admitted."""
         occupied = self.occupancy(route, usage)
         self._occupied_by_request[request] = occupied
         for service, slots in occupied.items():
-            total = self._occupied_by_service.get(service, 0.0) + slots
-            self._occupied_by_service[service] = total
+            self._account(service).add(slots, now)
 
-    def end(self, request: str) -> None:
+    def end(self, request: str, now: float) -> None:
         """Stop counting a request; an unknown one has no effect."""
         for service, slots in self._occupied_by_request.pop(request, {}).items():
-            left = self._occupied_by_service[service] - slots
-            self._occupied_by_service[service] = max(0.0, left)
+            self._account(service).add(-slots, now)
+
+    def _account(self, service: str) -> _Account:
+        account = self._account_by_service.get(service)
+        if account is None:
+            account = self._account_by_service[service] = _Account()
+        return account
 
     def learn(self, route: str, residence_s: float) -> None:
         """Take the time of a request that was served, queues included.
@@ -119,26 +170,36 @@
         usage: UsageByService,
         load: ServiceLoad,
         random: float,
+        now: float,
     ) -> TreeRefusal | None:
-        """Return why a request should not start now; `random` in [0, 1) spreads the returns."""
-        allowed = USE_BY_PRIORITY[min(max(priority, 0), len(USE_BY_PRIORITY) - 1)]
+        """Return why a request should not start now; counts it as demand.
+
+        `random` in [0, 1) spreads the returns, and rounds parts of less than one tree.
+        """
         success = self._success(usage, load)
-        residence_s = self._residence_by_route.get(route, 0.0)
         worst: TreeRefusal | None = None
         for service, need in self.occupancy(route, usage).items():
+            account = self._account(service)
+            account.offer(usage[service].slot_s, now)
             slots = load.slots(service)
             if slots <= UNKNOWN_SLOTS:
                 continue
-            committed = self._occupied_by_service.get(service, 0.0) + load.committed(service)
-            if committed + need <= slots * allowed and success >= MIN_SUCCESS:
+            use, others = account.use(now), load.others(service)
+            committed = use.occupied + others.occupied
+            allowed = slots * USE_BY_PRIORITY[min(max(priority, 0), len(USE_BY_PRIORITY) - 1)]
+            part = use.offered / max(use.offered + others.offered, use.offered, 1e-9)
+            fits = committed + need <= allowed or account.occupied + need * random <= allowed * part
+            if fits and success >= MIN_SUCCESS:
                 continue
-            excess = max(1.0, committed / (slots * allowed))
-            delay_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, residence_s * excess))
-            refusal = TreeRefusal(service, committed, slots, success, delay_s * (0.5 + random))
             if worst is None or committed * worst.slots > worst.committed * slots:
-                worst = refusal
+                delay_s = self._delay_s(route, committed / allowed) * (0.5 + random)
+                worst = TreeRefusal(service, committed, slots, success, delay_s)
         return worst
 
+    def _delay_s(self, route: str, excess: float) -> float:
+        residence_s = self._residence_by_route.get(route, 0.0)
+        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, residence_s * max(1.0, excess)))
+
     def _success(self, usage: UsageByService, load: ServiceLoad) -> float:
         if sum(item.calls for item in usage.values()) <= 1.5:
             return 1.0
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -11,6 +11,7 @@
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
+from pollenglade_core.dispatch.tree_admission import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
 from pollenglade_core.dispatch.tree_cost import TreeCosts
 from pollenglade_core.outcome import Outcome
@@ -61,9 +62,9 @@
         """Return the slots of all usable endpoints."""
         return self._view.slots(service, self._now)
 
-    def committed(self, service: str) -> float:
-        """Return the slots that requests of other nodes occupy on average."""
-        return self._view.committed(service, self._now, self._own_node)
+    def others(self, service: str) -> SlotUse:
+        """Return the sum of what the other reachable nodes tell."""
+        return self._view.slot_use(service, self._now, self._own_node)
 
     def failure_rate(self, service: str) -> float:
         """Return the part of the calls that fail or are rejected at the service."""
@@ -104,9 +105,9 @@
         self.policy: TrafficPolicy | None = None
 
     @property
-    def occupied_by_service(self) -> Mapping[str, float]:
-        """Slots that the requests of this node occupy on average."""
-        return self._admission.occupied_by_service
+    def use_by_service(self) -> Mapping[str, SlotUse]:
+        """Slots that the requests of this node occupy and ask for on average."""
+        return self._admission.use_by_service(monotonic())
 
     @property
     def is_busy(self) -> bool:
@@ -222,7 +223,7 @@
         load = ViewLoad(self._view, self._links.hello.node, now)
         usage = self._costs.of(route.name)
         refusal = self._admission.check(
-            route.name, route.priority, usage, load, self._source.random()
+            route.name, route.priority, usage, load, self._source.random(), now
         )
         if refusal is None:
             return None
@@ -241,7 +242,7 @@
     def _start(self, call: MeshCall) -> None:
         if not call.nested:
             route = call.route.name
-            self._admission.begin(call.request_id, route, self._costs.of(route))
+            self._admission.begin(call.request_id, route, self._costs.of(route), monotonic())
         call.start()
 
     def choose(self, call: MeshCall) -> Peer | None:
@@ -274,7 +275,7 @@
         if call.has_token and not final.ran and call.organisation is not None:
             self._tokens.give_back(call.organisation.name)
         if not call.nested:
-            self._admission.end(call.request_id)
+            self._admission.end(call.request_id, monotonic())
         if final.usage and final.status < 400:
             self._costs.learn(call.route.name, final.usage)
             self._admission.learn(call.route.name, monotonic() - call.started_at)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -137,7 +137,7 @@
             self.serving.endpoint_id,
             EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate),
             self.policy.version,
-            self._entry.occupied_by_service,
+            self._entry.use_by_service,
         )
 
     def _on_policy(self, policy: TrafficPolicy) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -17,6 +17,7 @@
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.dispatch.tree_admission import SlotUse
 from pollenglade_net.http_client import Address
 
 from ..links import Links
@@ -56,7 +57,7 @@
     endpoint_id: str
     load: EndpointLoad
     policy_version: int
-    occupied_by_service: Mapping[str, float] = field(default_factory=dict)
+    use_by_service: Mapping[str, SlotUse] = field(default_factory=dict)
 
     def to_wire(self) -> list[object]:
         """Return the state as a list for the link."""
@@ -71,7 +72,10 @@
             self.endpoint_id,
             [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate],
             self.policy_version,
-            {name: round(slots, 2) for name, slots in self.occupied_by_service.items()},
+            {
+                name: [round(use.occupied, 2), round(use.offered, 2)]
+                for name, use in self.use_by_service.items()
+            },
         ]
 
     @classmethod
@@ -101,15 +105,23 @@
                 load = EndpointLoad(
                     running, waiting, max(1, limit), float(expected_s), float(failure_rate)
                 )
-                slots_by_service = {
-                    name: float(slots)
-                    for name, slots in occupied.items()
-                    if isinstance(name, str) and isinstance(slots, int | float)
+                use_by_service = {
+                    name: SlotUse(float(use[0]), float(use[1]))
+                    for name, use in occupied.items()
+                    if isinstance(name, str) and _is_pair(use)
                 }
-                return cls(member, ready, endpoint_id, load, version, slots_by_service)
+                return cls(member, ready, endpoint_id, load, version, use_by_service)
         return None
 
 
+def _is_pair(value: object) -> bool:
+    return (
+        isinstance(value, list)
+        and len(value) == 2
+        and all(isinstance(item, int | float) for item in value)
+    )
+
+
 class PeerExchange:
     """Keeps the list of members, sends the own state to all of them and applies theirs."""
 
@@ -267,7 +279,7 @@
             return
         peer.ready = state.ready
         peer.endpoint_id = state.endpoint_id
-        peer.occupied_by_service = state.occupied_by_service
+        peer.use_by_service = state.use_by_service
         peer.report(state.load, monotonic())
         if self.unreachable_since.pop(node, None) is not None:
             peer.avoid_until = float("-inf")
