Explain a request from log lines; log attempts at the serving node

pollenglade explain joins the lines of entry and serving nodes, follows nested calls and names the cause; its exit code tells a request that nobody logged from lines left out.

--- a/packages/pollenglade-cli/src/pollenglade_cli/exit_codes.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/exit_codes.py
@@ -17,3 +17,5 @@
     NODES_DIFFER = 7
     NOT_PUBLISHED = 8
     UNREADABLE = 9
+    NOT_LOGGED = 10
+    LINES_LEFT_OUT = 11
--- a/packages/pollenglade-cli/src/pollenglade_cli/main.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/main.py
@@ -8,6 +8,7 @@
 from . import key_commands
 from . import monitor_commands
 from . import profile_commands
+from .explain_command import explain
 from .status_command import status
 
 # Tracebacks must not show local variables: they can hold the secret of a key.
@@ -21,6 +22,7 @@
 app.add_typer(monitor_commands.app, name="monitor")
 app.add_typer(burn_command.app, name="report")
 app.command()(status)
+app.command()(explain)
 
 
 def main() -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -59,6 +59,9 @@
     def on_broken(self, call: EndpointCall, refusal: Refusal) -> None:
         """Find out whether the endpoint crashed, then fail the call."""
 
+    def on_refused(self, call: EndpointCall, refusal: Refusal) -> None:
+        """Take a call that ends without a response."""
+
     def on_wrong_endpoint(self) -> None:
         """Take the notice that another endpoint has the address."""
 
@@ -215,6 +218,7 @@
         feedback = self._end(completed)
         if sink is None:
             return
+        self._owner.on_refused(self, refusal)
         if self._streaming:
             sink.on_failure(refusal, feedback)
         else:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -37,6 +37,7 @@
 
 from .endpoint_call import EndpointCall
 from .header_names import HeaderNames
+from .request_log import RequestLog
 
 EXPIRY_INTERVAL_S = 0.02
 """Time in seconds between checks of the queue for requests that cannot finish in time."""
@@ -59,6 +60,7 @@
         names: HeaderNames,
         ledger: CrashLedger,
         source: RandomSource,
+        request_log: RequestLog,
     ) -> None:
         self._name = name
         self._service = service
@@ -66,6 +68,7 @@
         self._names = names
         self._ledger = ledger
         self._source = source
+        self._request_log = request_log
         self._loop = asyncio.get_running_loop()
         self._queue = EndpointQueue(1)
         self._call_by_id: dict[str, EndpointCall] = {}
@@ -260,6 +263,10 @@
         """Learn whether the endpoint itself failed a request."""
         self._queue.note_result(failed)
 
+    def on_refused(self, call: EndpointCall, refusal: Refusal) -> None:
+        """Log a call that ends without a response."""
+        self._request_log.on_attempt(call, refusal, self.load())
+
     def on_wrong_endpoint(self) -> None:
         """Stop sending to an endpoint whose address another one has taken."""
         self._mark_down("another endpoint has the address")
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -140,6 +140,7 @@
                 self._refuse(exchange, request_id, 401, Reason.KEY_UNKNOWN)
                 return
         call = self._new_call(exchange, request_id, route, organisation, now)
+        call.policy_version = policy.version
         self._open_calls += 1
         self._admit(call, now)
 
@@ -284,7 +285,8 @@
         self._request_log.on_final(call, final)
 
     def _refuse(self, exchange: Exchange, request_id: str, status: int, reason: Reason) -> None:
-        self._request_log.on_rejected(request_id, status, reason.value)
+        version = -1 if self.policy is None else self.policy.version
+        self._request_log.on_rejected(request_id, status, reason.value, version)
         headers: Headers = []
         if status in RETRY_LATER_STATUS:
             headers.append((b"retry-after", b"%.3f" % self.retry_after_s()))
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -177,6 +177,7 @@
         self._may_have_run = False
         self.is_done = False
         self.has_token = False
+        self.policy_version = -1
         self._streaming = False
         self._owed_credit = 0
         self._timer: asyncio.TimerHandle | None = None
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -71,6 +71,7 @@
             incarnation,
         )
         self._ledger = CrashLedger()
+        self.request_log = RequestLog()
         self.serving = EndpointServing(
             f"{settings.node}/{incarnation:x}",
             settings.service,
@@ -78,6 +79,7 @@
             names,
             self._ledger,
             source,
+            self.request_log,
         )
         self._links = Links(Hello(settings.node, incarnation, settings.zone), self.serving)
         self.view = PeerView(settings.zone)
@@ -92,7 +94,6 @@
         self._crash_notices = CrashNotices(
             self._ledger, self._links, lambda service: self.peers.nodes, source
         )
-        self.request_log = RequestLog()
         self._entry = MeshEntry(
             names,
             settings.service,
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -9,6 +9,9 @@
 import structlog
 
 if TYPE_CHECKING:
+    from pollenglade_core.outcome import Refusal
+
+    from .endpoint_call import EndpointCall
     from .mesh_call import FinalAnswer
     from .mesh_call import MeshCall
 
@@ -57,15 +60,34 @@
             detail=final.detail or None,
             attempts=call.attempts,
             placements=call.placements,
-            node=call.endpoint_node,
+            serving_node=call.endpoint_node,
+            policy=call.policy_version,
             ms=round((now - call.started_at) * 1000, 1),
         )
 
-    def on_rejected(self, request_id: str, status: int, reason: str) -> None:
+    def on_attempt(self, call: EndpointCall, refusal: Refusal, load: tuple[float, ...]) -> None:
+        """Take an attempt at the endpoint of this node that has no response."""
+        if not self._may_write(f"attempt-{refusal.reason.value}", monotonic()):
+            return
+        running, waiting, limit = load[:3]
+        log.info(
+            "attempt",
+            request=call.request_id.decode("latin-1"),
+            service=call.context.service,
+            decision=refusal.reason.value,
+            outcome=refusal.outcome.value,
+            detail=refusal.detail or None,
+            running=running,
+            waiting=waiting,
+            limit=limit,
+            left_ms=round(call.context.remaining_s(monotonic()) * 1000),
+        )
+
+    def on_rejected(self, request_id: str, status: int, reason: str, policy: int) -> None:
         """Take a request that had no route or no organisation."""
         self.answers[(status, reason)] += 1
         if self._may_write(reason, monotonic()):
-            log.info("request", request=request_id, decision=reason, status=status)
+            log.info("request", request=request_id, decision=reason, status=status, policy=policy)
 
     def _may_write(self, reason: str, now: float) -> bool:
         second = int(now)
