--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
@@ -0,0 +1,143 @@
+"""OpenTelemetry instruments of a mesh node, made when its metrics are first asked for.
+
+The SDK takes several megabytes; a process that nobody scrapes does not load it.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterator
+from itertools import accumulate
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+
+if TYPE_CHECKING:
+    from opentelemetry.metrics import CallbackOptions
+    from opentelemetry.metrics import Meter
+    from opentelemetry.metrics import Observation
+    from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds in seconds of the latency buckets, those of the OpenTelemetry conventions."""
+
+
+class LatencyHistogram:
+    """Counts of times by bucket and label; cheap enough for every request."""
+
+    def __init__(self) -> None:
+        self._counts_by_label: dict[str, list[int]] = {}
+        self.sum_by_label: Counter[str] = Counter()
+
+    def add(self, label: str, seconds: float) -> None:
+        """Count one time."""
+        counts = self._counts_by_label.get(label)
+        if counts is None:
+            counts = self._counts_by_label[label] = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        counts[bisect_left(LATENCY_BOUNDS_S, seconds)] += 1
+        self.sum_by_label[label] += seconds  # type: ignore[assignment]
+
+    def buckets(self) -> Iterator[tuple[str, str, int]]:
+        """Return label, upper bound and cumulative count of every bucket."""
+        for label, counts in self._counts_by_label.items():
+            bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
+            for bound, count in zip(bounds, accumulate(counts), strict=True):
+                yield label, bound, count
+
+    def count(self, label: str) -> int:
+        """Return the number of times of a label."""
+        return sum(self._counts_by_label.get(label, ()))
+
+
+class MeshReadings(Protocol):
+    """What the instruments read from the node."""
+
+    def answers(self) -> dict[tuple[int, str], int]:
+        """Return the answers by status and reason."""
+
+    def latency(self) -> LatencyHistogram:
+        """Return the times of requests by decision."""
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the node believes at the moment."""
+
+
+class MeshMetrics:
+    """Serves the readings in the Prometheus text format."""
+
+    def __init__(self, node: str, zone: str, readings: MeshReadings) -> None:
+        self._node = node
+        self._zone = zone
+        self._readings = readings
+        self._reader: InMemoryMetricReader | None = None
+
+    async def serve(self, request: HttpRequest) -> HttpResponse:
+        """Answer `GET /metrics`."""
+        from ..metrics_text import CONTENT_TYPE
+        from ..metrics_text import render
+
+        if request.target.partition(b"?")[0] != b"/metrics":
+            return HttpResponse(404)
+        if self._reader is None:
+            self._reader = self._new_reader()
+        body = render(self._reader.get_metrics_data()).encode()
+        return HttpResponse(200, [(b"content-type", CONTENT_TYPE)], body)
+
+    def _new_reader(self) -> InMemoryMetricReader:
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+        from opentelemetry.sdk.resources import Resource
+
+        reader = InMemoryMetricReader()
+        attributes = {"service.name": "pollenglade-node", "host.name": self._node}
+        resource = Resource({**attributes, "zone": self._zone})
+        provider = MeterProvider([reader], resource, shutdown_on_exit=False)
+        self._add_instruments(provider.get_meter("pollenglade.mesh"))
+        return reader
+
+    def _add_instruments(self, meter: Meter) -> None:
+        from opentelemetry.metrics import Observation
+
+        def counter(name: str, text: str, read: Callable[[], Iterator[Observation]]) -> None:
+            def callback(options: CallbackOptions) -> Iterator[Observation]:
+                return read()
+
+            meter.create_observable_counter(name, [callback], description=text)
+
+        def answers() -> Iterator[Observation]:
+            for (status, reason), count in self._readings.answers().items():
+                yield Observation(count, {"status": status, "reason": reason})
+
+        def buckets() -> Iterator[Observation]:
+            for label, bound, count in self._readings.latency().buckets():
+                yield Observation(count, {"decision": label, "le": bound})
+
+        def sums() -> Iterator[Observation]:
+            for label, seconds in self._readings.latency().sum_by_label.items():
+                yield Observation(seconds, {"decision": label})
+
+        def counts() -> Iterator[Observation]:
+            latency = self._readings.latency()
+            for label in latency.sum_by_label:
+                yield Observation(latency.count(label), {"decision": label})
+
+        name = "pollenglade.mesh.request.duration.seconds"
+        counter("pollenglade.mesh.answers", "Answers by status and reason.", answers)
+        counter(f"{name}.bucket", "Time from arrival to answer.", buckets)
+        counter(f"{name}.sum", "Time from arrival to answer.", sums)
+        counter(f"{name}.count", "Time from arrival to answer.", counts)
+        for gauge in self._readings.gauges():
+            self._add_gauge(meter, gauge)
+
+    def _add_gauge(self, meter: Meter, gauge: str) -> None:
+        from opentelemetry.metrics import Observation
+
+        def callback(options: CallbackOptions) -> Iterator[Observation]:
+            yield Observation(self._readings.gauges()[gauge])
+
+        text = f"Value of {gauge.replace('_', ' ')} as this node knows it."
+        meter.create_observable_gauge(f"pollenglade.mesh.{gauge}", [callback], description=text)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -26,6 +26,7 @@
 from .endpoint_serving import EndpointServing
 from .entry import MeshEntry
 from .header_names import HeaderNames
+from .mesh_metrics import LatencyHistogram
 from .mesh_settings import MeshSettings
 from .peer_exchange import STATE_TOPIC
 from .peer_exchange import MeshMember
@@ -188,6 +189,30 @@
             OWN_STATE_INTERVAL_S, self._keep_own_fresh
         )
 
+    def answers(self) -> dict[tuple[int, str], int]:
+        """Return the answers by status and reason."""
+        return dict(self.request_log.answers)
+
+    def latency(self) -> LatencyHistogram:
+        """Return the times of requests by decision."""
+        return self.request_log.latency
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the node believes at the moment."""
+        running, waiting, limit, expected_s, failure_rate = self.serving.load()
+        now = monotonic()
+        return {
+            "members": len(self.peers.nodes),
+            "members_unreachable": len(self.peers.unreachable_since),
+            "endpoints_usable": sum(peer.is_usable(now) for peer in self.view.by_node.values()),
+            "policy_version": self.policy.version,
+            "endpoint_running": running,
+            "endpoint_waiting": waiting,
+            "endpoint_limit": limit,
+            "endpoint_expected_seconds": expected_s,
+            "endpoint_failure_rate": failure_rate,
+        }
+
     async def start(self) -> None:
         """Open the ports and take part in the mesh."""
         settings = self._settings
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -8,6 +8,8 @@
 
 import structlog
 
+from .mesh_metrics import LatencyHistogram
+
 if TYPE_CHECKING:
     from pollenglade_core.outcome import Refusal
 
@@ -33,12 +35,14 @@
         self._left_out: Counter[str] = Counter()
         self._served = 0
         self.answers: Counter[tuple[int, str]] = Counter()
+        self.latency = LatencyHistogram()
 
     def on_final(self, call: MeshCall, final: FinalAnswer) -> None:
         """Take the end of a request that had a route."""
         self.answers[(final.status, final.reason)] += 1
         now = monotonic()
         late = now > call.objective_at
+        self.latency.add(final.reason, now - call.started_at)
         reason = final.reason
         if reason == "served" and call.attempts <= 1 and not late:
             self._served += 1
