--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -163,6 +163,14 @@
         else:
             self._residence_by_route[route] = known * (1.0 + RESIDENCE_RISE)
 
+    def residence_s(self, route: str) -> float | None:
+        """Return the time of an undisturbed request; None where none was seen."""
+        return self._residence_by_route.get(route)
+
+    def restore(self, route: str, residence_s: float) -> None:
+        """Take the time that other nodes have learnt, unless one is known."""
+        self._residence_by_route.setdefault(route, residence_s)
+
     def check(
         self,
         route: str,
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
@@ -52,6 +52,15 @@
                 old.slot_s + (new.slot_s - old.slot_s) * LEARNING_WEIGHT,
             )
 
+    def restore(self, route: str, usage: UsageByService) -> None:
+        """Take the usage of a route that other nodes have learnt, unless one is known."""
+        self._usage_by_service_by_route.setdefault(route, dict(usage))
+
+    @property
+    def routes(self) -> tuple[str, ...]:
+        """Routes whose usage is known."""
+        return tuple(self._usage_by_service_by_route)
+
     def of(self, route: str) -> UsageByService:
         """Return the mean usage of a route; empty where nothing was learnt yet."""
         return self._usage_by_service_by_route.get(route, {})
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from pollenglade_core.call import CallContext
+from pollenglade_core.dispatch.learnt_trees import LearntTree
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
@@ -109,6 +110,20 @@
         """Slots that the requests of this node occupy and ask for on average."""
         return self._admission.use_by_service(monotonic())
 
+    def learnt_trees(self) -> dict[str, LearntTree]:
+        """Return what is known about the trees of routes, by route."""
+        return {
+            route: LearntTree(residence_s, self._costs.of(route))
+            for route in self._costs.routes
+            if (residence_s := self._admission.residence_s(route)) is not None
+        }
+
+    def restore_trees(self, trees: Mapping[str, LearntTree]) -> None:
+        """Take what other nodes have learnt; own knowledge goes first."""
+        for route, tree in trees.items():
+            self._costs.restore(route, tree.usage)
+            self._admission.restore(route, tree.residence_s)
+
     @property
     def is_busy(self) -> bool:
         """Whether requests wait for their answer."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -38,6 +38,8 @@
 from .request_log import RequestLog
 from .token_desk import LOAN_TOPIC
 from .token_desk import TokenDesk
+from .tree_memory import TREES_TOPIC
+from .tree_memory import TreeMemory
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 """Request bodies are held whole; a larger one does not fit beside others in a small process."""
@@ -107,6 +109,7 @@
             self.request_log,
             source,
         )
+        self.trees = TreeMemory(self._entry, self._links)
         self._limits = ServerLimits(cancel_on_eof=True)
         self._server = HttpServer(self._entry.handle, self._limits)
         self._refresh: asyncio.TimerHandle | None = None
@@ -117,11 +120,12 @@
         topics = self._links.answer_by_topic
         topics[STATE_TOPIC] = self.peers.answer
         topics[POLICY_TOPIC] = self.policy.answer
+        topics[TREES_TOPIC] = self.trees.answer
         topics[LOAN_TOPIC] = self._tokens.answer
         topics[CRASH_TOPIC] = self._crash_notices.answer
         self.policy.on_change = self._on_policy
         self.peers.on_members = self._on_members
-        self.peers.on_version = self.policy.on_peer_version
+        self.peers.on_state = self._on_peer_state
         self.serving.on_changed = self._on_endpoint
         self.serving.on_crash = self._on_crash
         self._tokens.is_alive = self.peers.is_alive
@@ -166,6 +170,10 @@
             organisations = self.policy.current.organisations_by_name.values()
             self._tokens.apply(organisations, self.peers.nodes)
 
+    def _on_peer_state(self, node: str, policy_version: int) -> None:
+        self.policy.on_peer_version(node, policy_version)
+        self.trees.on_peer(node)
+
     def _on_endpoint(self) -> None:
         self._refresh_own()
         self.peers.push()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -145,7 +145,7 @@
         self.member_by_node: dict[str, MeshMember] = {own.node: own}
         self.unreachable_since: dict[str, float] = {}
         self.on_members: Callable[[], None] = lambda: None
-        self.on_version: Callable[[str, int], None] = lambda node, version: None
+        self.on_state: Callable[[str, int], None] = lambda node, version: None
 
     def start(self) -> None:
         """Send states from now on."""
@@ -284,7 +284,7 @@
         if self.unreachable_since.pop(node, None) is not None:
             peer.avoid_until = float("-inf")
             log.info("peer_regained", peer=node)
-        self.on_version(node, state.policy_version)
+        self.on_state(node, state.policy_version)
 
     def close(self) -> None:
         """Stop sending."""
