--- a/packages/pollenglade-cli/src/pollenglade_cli/burn_command.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/burn_command.py
@@ -11,11 +11,11 @@
 
 import typer
 
-from pollenglade_core.burn import DEFAULT_OBJECTIVE
-from pollenglade_core.burn import Burn
-from pollenglade_core.burn import BurnAlert
-from pollenglade_core.burn import BurnRates
-from pollenglade_core.call_counts import CountReader
+from pollenglade_core.calls.burn import DEFAULT_OBJECTIVE
+from pollenglade_core.calls.burn import Burn
+from pollenglade_core.calls.burn import BurnAlert
+from pollenglade_core.calls.burn import BurnRates
+from pollenglade_core.calls.call_counts import CountReader
 
 from .burn_page import burn_page
 from .burn_page import window_name
--- a/packages/pollenglade-cli/src/pollenglade_cli/burn_page.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/burn_page.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from html import escape
 
-from pollenglade_core.burn import Burn
-from pollenglade_core.burn import BurnAlert
+from pollenglade_core.calls.burn import Burn
+from pollenglade_core.calls.burn import BurnAlert
 
 ROW_HEIGHT_PX = 22
 LABEL_WIDTH_PX = 70
--- a/packages/pollenglade-cli/src/pollenglade_cli/difference.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/difference.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any
 
-from pollenglade_core.profile import Profile
+from pollenglade_core.configuration.profile import Profile
 
 
 def profile_values(profile: Profile) -> dict[str, Any]:
--- a/packages/pollenglade-cli/src/pollenglade_cli/key_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/key_commands.py
@@ -8,17 +8,17 @@
 
 import typer
 
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import KeyChange
-from pollenglade_core.configuration import Kind
-from pollenglade_core.configuration import apply
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import KeyChange
+from pollenglade_core.configuration.configuration import Kind
+from pollenglade_core.configuration.configuration import apply
+from pollenglade_core.configuration.keys import SECRET_BYTES
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.keys import hash_secret
+from pollenglade_core.configuration.keys import key_text
+from pollenglade_core.configuration.keys import parse_key
 from pollenglade_core.finding import Finding
 from pollenglade_core.finding import Findings
-from pollenglade_core.keys import SECRET_BYTES
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.keys import hash_secret
-from pollenglade_core.keys import key_text
-from pollenglade_core.keys import parse_key
 from pollenglade_net.configuration_store import Committed
 
 from .confirmation import confirmed
--- a/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/monitor_commands.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from pollenglade_core.configuration import Configuration
+from pollenglade_core.configuration.configuration import Configuration
 from pollenglade_net.platform_api import Unavailable
 
 from .exit_codes import ExitCode
--- a/packages/pollenglade-cli/src/pollenglade_cli/profile_commands.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/profile_commands.py
@@ -8,15 +8,15 @@
 
 import typer
 
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Kind
-from pollenglade_core.configuration import ProfileChange
-from pollenglade_core.configuration import apply
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Kind
+from pollenglade_core.configuration.configuration import ProfileChange
+from pollenglade_core.configuration.configuration import apply
+from pollenglade_core.configuration.profile import Profile
+from pollenglade_core.configuration.profile_file import MAX_FILE_BYTES
+from pollenglade_core.configuration.profile_file import read_profile
 from pollenglade_core.finding import Finding
 from pollenglade_core.finding import Findings
-from pollenglade_core.profile import Profile
-from pollenglade_core.profile_file import MAX_FILE_BYTES
-from pollenglade_core.profile_file import read_profile
 
 from .confirmation import confirmed
 from .difference import difference
--- a/packages/pollenglade-cli/src/pollenglade_cli/session.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/session.py
@@ -12,11 +12,11 @@
 
 import typer
 
-from pollenglade_core.configuration import Change
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Conflict
-from pollenglade_core.configuration import Stamp
-from pollenglade_core.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.configuration import Change
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Conflict
+from pollenglade_core.configuration.configuration import Stamp
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
 from pollenglade_core.finding import Findings
 from pollenglade_net.configuration_store import CommitResult
 from pollenglade_net.configuration_store import Committed
--- a/packages/pollenglade-cli/src/pollenglade_cli/status_command.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/status_command.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import Any
 
-from pollenglade_core.configuration import Configuration
+from pollenglade_core.configuration.configuration import Configuration
 from pollenglade_net.platform_api import Unavailable
 
 from .nodes import NodeAnswer
--- a/packages/pollenglade-cli/tests/test_cli/test_burn_command.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_burn_command.py
@@ -15,8 +15,8 @@
 from pollenglade_cli.burn_sources import Sources
 from pollenglade_cli.burn_sources import read_nodes
 from pollenglade_cli.exit_codes import ExitCode
-from pollenglade_core.call_counts import CallCounts
-from pollenglade_core.outcome import Outcome
+from pollenglade_core.calls.call_counts import CallCounts
+from pollenglade_core.calls.outcome import Outcome
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_server import HttpServer
--- a/packages/pollenglade-cli/tests/test_cli/test_commands.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_commands.py
@@ -18,10 +18,10 @@
 
 from pollenglade_cli.exit_codes import ExitCode
 from pollenglade_cli.main import app
-from pollenglade_core.configuration_head import Head
-from pollenglade_core.configuration_head import head_from_wire
-from pollenglade_core.configuration_history import ConfigurationHistory
-from pollenglade_core.keys import parse_key
+from pollenglade_core.configuration.configuration_head import Head
+from pollenglade_core.configuration.configuration_head import head_from_wire
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.keys import parse_key
 from pollenglade_emulator.platform_faults import Faults
 from pollenglade_emulator.platform_standin import PlatformStandIn
 from pollenglade_net.http_message import HttpRequest
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which call runs, waits or is refused at one target."""
--- a/packages/pollenglade-core/src/pollenglade_core/admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/admission.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from math import sqrt
 
+from ..calls.call import CallContext
+from ..calls.outcome import Reason
+from ..calls.outcome import Refusal
+from ..randomness import RandomSource
+from ..randomness import jittered
 from .admission_level import AdmissionLevel
 from .admission_level import LevelController
-from .call import CallContext
 from .fair_queue import FairQueue
 from .fair_queue import Waiting
 from .limit import ConcurrencyLimit
-from .outcome import Reason
-from .outcome import Refusal
-from .randomness import RandomSource
-from .randomness import jittered
 from .service_time import ServiceTime
 
 QUEUE_DELAY_S = 0.1
--- a/packages/pollenglade-core/src/pollenglade_core/admission_level.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/admission_level.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from .importance import Importance
+from ..calls.importance import Importance
 
 WINDOW_S = 0.1
 """Seconds between changes of the level."""
--- a/packages/pollenglade-core/src/pollenglade_core/fair_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/fair_queue.py
@@ -10,9 +10,9 @@
 from heapq import heappush
 from math import inf
 
-from .call import CallContext
-from .importance import Importance
-from .outcome import Reason
+from ..calls.call import CallContext
+from ..calls.importance import Importance
+from ..calls.outcome import Reason
 
 HEAP_SLACK = 64
 """Outdated heap entries that are tolerated before a heap is rebuilt."""
--- a/packages/pollenglade-core/src/pollenglade_core/quarantine.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/quarantine.py
@@ -8,11 +8,11 @@
 from dataclasses import field
 from hashlib import blake2b
 
-from .call import CallContext
-from .outcome import Reason
-from .outcome import Refusal
-from .randomness import RandomSource
-from .randomness import jittered
+from ..calls.call import CallContext
+from ..calls.outcome import Reason
+from ..calls.outcome import Refusal
+from ..randomness import RandomSource
+from ..randomness import jittered
 
 QUARANTINE_S = 600.0
 """Time after the latest crash during which a fingerprint is refused or suspected."""
--- a/packages/pollenglade-core/src/pollenglade_core/source_levels.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/source_levels.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from ..calls.importance import Importance
+from ..randomness import RandomSource
+from ..randomness import jittered
 from .admission_level import AdmissionLevel
-from .importance import Importance
-from .randomness import RandomSource
-from .randomness import jittered
 
 VALID_S = 1.0
 """Age at which a level is no longer used."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls, what became of them, and their counts."""
--- a/packages/pollenglade-core/src/pollenglade_core/call_handles.py
+++ b/packages/pollenglade-core/src/pollenglade_core/calls/call_handles.py
@@ -7,12 +7,12 @@
 from heapq import heappop
 from heapq import heappush
 
+from ..configuration.profile import RequestRule
+from ..randomness import RandomSource
 from .call import MAX_DEPTH
 from .call import CallContext
 from .outcome import Reason
 from .outcome import Refusal
-from .profile import RequestRule
-from .randomness import RandomSource
 
 HANDLE_BITS = 128
 MAX_LIVE_HANDLES = 20_000
--- a/packages/pollenglade-core/src/pollenglade_core/claim_messages.py
+++ b/packages/pollenglade-core/src/pollenglade_core/claims/claim_messages.py
@@ -4,11 +4,11 @@
 
 from dataclasses import dataclass
 
+from ..calls.outcome import Outcome
+from ..calls.outcome import Refusal
 from .claim_row import ClaimRow
 from .claim_row import InvalidRow
 from .claim_row import RecordedResponse
-from .outcome import Outcome
-from .outcome import Refusal
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pollenglade-core/src/pollenglade_core/claims.py
+++ b/packages/pollenglade-core/src/pollenglade_core/claims/claims.py
@@ -5,6 +5,11 @@
 from dataclasses import replace
 from enum import Enum
 
+from ..calls.outcome import Outcome
+from ..calls.outcome import Reason
+from ..calls.outcome import Refusal
+from ..randomness import RandomSource
+from ..randomness import jittered
 from .claim_messages import Answer
 from .claim_messages import AnswerLost
 from .claim_messages import ClaimAbsent
@@ -29,11 +34,6 @@
 from .claim_row import InvalidRow
 from .claim_row import RecordedResponse
 from .claim_row import RowState
-from .outcome import Outcome
-from .outcome import Reason
-from .outcome import Refusal
-from .randomness import RandomSource
-from .randomness import jittered
 
 RETRY_AFTER_S = 0.5
 """Shortest time after which a caller is told to repeat."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Published profiles and keys."""
--- a/packages/pollenglade-core/src/pollenglade_core/configuration.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/configuration.py
@@ -11,8 +11,8 @@
 from enum import StrEnum
 from functools import cached_property
 
-from .finding import Finding
-from .finding import Findings
+from ..finding import Finding
+from ..finding import Findings
 from .keys import KeyRecord
 from .profile import Profile
 
--- a/packages/pollenglade-core/src/pollenglade_core/configuration_head.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/configuration_head.py
@@ -13,13 +13,13 @@
 from pydantic import Field
 from pydantic import ValidationError
 
+from ..finding import Finding
+from ..finding import Findings
 from .configuration import Change
 from .configuration import Configuration
 from .configuration_history import SNAPSHOT_INTERVAL
 from .configuration_wire import change_from_wire
 from .configuration_wire import change_to_wire
-from .finding import Finding
-from .finding import Findings
 
 HEAD_ROW = "configuration/head"
 
--- a/packages/pollenglade-core/src/pollenglade_core/configuration_history.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/configuration_history.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Iterable
 
+from ..finding import Findings
 from .configuration import Change
 from .configuration import Configuration
 from .configuration import Conflict
 from .configuration import apply
-from .finding import Findings
 
 SNAPSHOT_INTERVAL = 64
 """Changes after which a new snapshot replaces the older changes."""
--- a/packages/pollenglade-core/src/pollenglade_core/configuration_wire.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/configuration_wire.py
@@ -8,12 +8,12 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+from ..finding import Finding
+from ..finding import Findings
 from .configuration import Change
 from .configuration import Configuration
 from .configuration import KeyChange
 from .configuration import ProfileChange
-from .finding import Finding
-from .finding import Findings
 
 T = TypeVar("T")
 
--- a/packages/pollenglade-core/src/pollenglade_core/profile.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/profile.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from fnmatch import fnmatchcase
 
-from .importance import Importance
+from ..calls.importance import Importance
 
 DEFAULT_DEADLINE_MS = 2_000
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
--- a/packages/pollenglade-core/src/pollenglade_core/profile_file.py
+++ b/packages/pollenglade-core/src/pollenglade_core/configuration/profile_file.py
@@ -35,9 +35,9 @@
 from pydantic import Field
 from pydantic import ValidationError
 
-from .finding import Finding
-from .finding import Findings
-from .importance import Importance
+from ..calls.importance import Importance
+from ..finding import Finding
+from ..finding import Findings
 from .profile import DEFAULT_DEADLINE_MS
 from .profile import NAME_PATTERN
 from .profile import OrganisationContract
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive, and what they offer."""
--- a/packages/pollenglade-core/src/pollenglade_core/gossip_wire.py
+++ b/packages/pollenglade-core/src/pollenglade_core/membership/gossip_wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .lease_rows import SLOT_COUNT
+from ..quota.lease_rows import SLOT_COUNT
 from .member import Member
 from .member import MemberState
 from .member import ServiceOffer
--- a/packages/pollenglade-core/src/pollenglade_core/prober.py
+++ b/packages/pollenglade-core/src/pollenglade_core/membership/prober.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from ..randomness import RandomSource
 from .member import Member
 from .member import MemberState
 from .member_table import MemberTable
-from .randomness import RandomSource
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.5
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits by leased slots."""
--- a/packages/pollenglade-core/src/pollenglade_core/quota_borrower.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/quota_borrower.py
@@ -6,18 +6,18 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..calls.outcome import Reason
+from ..calls.outcome import Refusal
+from ..randomness import RandomSource
+from ..randomness import jittered
 from .borrower_account import ASK_TIMEOUT_S
 from .borrower_account import LOW_WATER_S
 from .borrower_account import BorrowerAccount
 from .borrower_account import Slice
-from .outcome import Reason
-from .outcome import Refusal
 from .quota_messages import GRANT_LIFETIME_S
 from .quota_messages import Account
 from .quota_messages import QuotaAsk
 from .quota_messages import Settlement
-from .randomness import RandomSource
-from .randomness import jittered
 
 DENIAL_MIN_S = 0.005
 """A zone that denied is not asked again before; it bounds the asks of an account over its rate."""
--- /dev/null
+++ b/packages/pollenglade-core/src/pollenglade_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which target gets a call."""
--- a/packages/pollenglade-core/src/pollenglade_core/routing.py
+++ b/packages/pollenglade-core/src/pollenglade_core/routing/routing.py
@@ -5,13 +5,13 @@
 from collections.abc import Container
 from collections.abc import Iterable
 
+from ..calls.outcome import Reason
+from ..calls.outcome import Refusal
+from ..randomness import RandomSource
+from ..randomness import jittered
 from .endpoint import Endpoint
 from .endpoint import Route
 from .endpoint import Tracker
-from .outcome import Reason
-from .outcome import Refusal
-from .randomness import RandomSource
-from .randomness import jittered
 from .service_pool import ServicePool
 
 RETRY_AFTER_S = 1.0
--- a/packages/pollenglade-core/src/pollenglade_core/service_pool.py
+++ b/packages/pollenglade-core/src/pollenglade_core/routing/service_pool.py
@@ -9,9 +9,9 @@
 from statistics import median
 from statistics import median_high
 
+from ..randomness import RandomSource
 from .endpoint import Endpoint
 from .endpoint import Tracker
-from .randomness import RandomSource
 
 DEFAULT_LATENCY_S = 0.05
 """Median before the first sample."""
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -14,7 +14,7 @@
 from heapq import heappop
 from heapq import heappush
 
-from ..outcome import Reason
+from ..calls.outcome import Reason
 
 EXPECTED_S = 0.05
 """Time at the endpoint that is assumed before one was measured, in seconds."""
--- a/packages/pollenglade-core/tests/test_core/claim_world.py
+++ b/packages/pollenglade-core/tests/test_core/claim_world.py
@@ -6,23 +6,23 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from pollenglade_core.claim_messages import Answer
-from pollenglade_core.claim_messages import AnswerLost
-from pollenglade_core.claim_messages import ClaimAbsent
-from pollenglade_core.claim_messages import ClaimAction
-from pollenglade_core.claim_messages import ClaimEvent
-from pollenglade_core.claim_messages import ClaimExists
-from pollenglade_core.claim_messages import ClaimInserted
-from pollenglade_core.claim_messages import InsertClaim
-from pollenglade_core.claim_messages import PlatformUnavailable
-from pollenglade_core.claim_messages import ReadClaim
-from pollenglade_core.claim_messages import RecordLost
-from pollenglade_core.claim_messages import RecordOutcome
-from pollenglade_core.claim_messages import RecordWritten
-from pollenglade_core.claim_messages import ReleaseClaim
-from pollenglade_core.claim_messages import SendOnce
-from pollenglade_core.claim_row import ClaimRow
-from pollenglade_core.claims import ClaimMachine
+from pollenglade_core.claims.claim_messages import Answer
+from pollenglade_core.claims.claim_messages import AnswerLost
+from pollenglade_core.claims.claim_messages import ClaimAbsent
+from pollenglade_core.claims.claim_messages import ClaimAction
+from pollenglade_core.claims.claim_messages import ClaimEvent
+from pollenglade_core.claims.claim_messages import ClaimExists
+from pollenglade_core.claims.claim_messages import ClaimInserted
+from pollenglade_core.claims.claim_messages import InsertClaim
+from pollenglade_core.claims.claim_messages import PlatformUnavailable
+from pollenglade_core.claims.claim_messages import ReadClaim
+from pollenglade_core.claims.claim_messages import RecordLost
+from pollenglade_core.claims.claim_messages import RecordOutcome
+from pollenglade_core.claims.claim_messages import RecordWritten
+from pollenglade_core.claims.claim_messages import ReleaseClaim
+from pollenglade_core.claims.claim_messages import SendOnce
+from pollenglade_core.claims.claim_row import ClaimRow
+from pollenglade_core.claims.claims import ClaimMachine
 
 Operation = InsertClaim | ReadClaim | RecordOutcome | ReleaseClaim
 Write = InsertClaim | RecordOutcome | ReleaseClaim
--- a/packages/pollenglade-core/tests/test_core/quota_fleet.py
+++ b/packages/pollenglade-core/tests/test_core/quota_fleet.py
@@ -10,24 +10,24 @@
 from functools import partial
 from typing import Any
 
-from pollenglade_core.lease import ZoneLeases
-from pollenglade_core.lease_rows import ReadAnnouncement
-from pollenglade_core.lease_rows import ReadSlot
-from pollenglade_core.lease_rows import StoredSlotRow
-from pollenglade_core.lease_rows import WriteSlot
-from pollenglade_core.lease_rows import slot_of
-from pollenglade_core.quota import Account
-from pollenglade_core.quota import AskHolder
-from pollenglade_core.quota import Granted
-from pollenglade_core.quota import QuotaBorrower
-from pollenglade_core.quota import QuotaHolder
-from pollenglade_core.quota import Refused
-from pollenglade_core.quota import SettleHolder
-from pollenglade_core.quota import ShareChanges
-from pollenglade_core.quota import Spent
-from pollenglade_core.quota import ZoneShare
-from pollenglade_core.quota import contract_shares
-from pollenglade_core.quota_borrower import BorrowerAction
+from pollenglade_core.quota.lease import ZoneLeases
+from pollenglade_core.quota.lease_rows import ReadAnnouncement
+from pollenglade_core.quota.lease_rows import ReadSlot
+from pollenglade_core.quota.lease_rows import StoredSlotRow
+from pollenglade_core.quota.lease_rows import WriteSlot
+from pollenglade_core.quota.lease_rows import slot_of
+from pollenglade_core.quota.quota import Account
+from pollenglade_core.quota.quota import AskHolder
+from pollenglade_core.quota.quota import Granted
+from pollenglade_core.quota.quota import QuotaBorrower
+from pollenglade_core.quota.quota import QuotaHolder
+from pollenglade_core.quota.quota import Refused
+from pollenglade_core.quota.quota import SettleHolder
+from pollenglade_core.quota.quota import ShareChanges
+from pollenglade_core.quota.quota import Spent
+from pollenglade_core.quota.quota import ZoneShare
+from pollenglade_core.quota.quota import contract_shares
+from pollenglade_core.quota.quota_borrower import BorrowerAction
 
 TICK_S = 1 / 1024  # exact in binary, so that the check of windows has no rounding
 PLATFORM_TIMEOUT_S = 2.0
--- a/packages/pollenglade-core/tests/test_core/test_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_admission.py
@@ -14,20 +14,20 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.admission import QUEUE_DELAY_S
-from pollenglade_core.admission import Action
-from pollenglade_core.admission import Admission
-from pollenglade_core.admission import Admit
-from pollenglade_core.admission import Refuse
-from pollenglade_core.admission_level import OPEN
-from pollenglade_core.admission_level import AdmissionLevel
-from pollenglade_core.admission_level import LevelController
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.limit import FixedLimit
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.retry import RetryAllowance
-from pollenglade_core.source_levels import SourceLevels
+from pollenglade_core.admission.admission import QUEUE_DELAY_S
+from pollenglade_core.admission.admission import Action
+from pollenglade_core.admission.admission import Admission
+from pollenglade_core.admission.admission import Admit
+from pollenglade_core.admission.admission import Refuse
+from pollenglade_core.admission.admission_level import OPEN
+from pollenglade_core.admission.admission_level import AdmissionLevel
+from pollenglade_core.admission.admission_level import LevelController
+from pollenglade_core.admission.limit import FixedLimit
+from pollenglade_core.admission.source_levels import SourceLevels
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.retry import RetryAllowance
 
 
 def make_call(
--- a/packages/pollenglade-core/tests/test_core/test_burn.py
+++ b/packages/pollenglade-core/tests/test_core/test_burn.py
@@ -7,15 +7,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.burn import BUCKET_S
-from pollenglade_core.burn import DEFAULT_OBJECTIVE
-from pollenglade_core.burn import WINDOWS_S
-from pollenglade_core.burn import BurnRates
-from pollenglade_core.burn import Severity
-from pollenglade_core.call_counts import CallCount
-from pollenglade_core.call_counts import CallCounts
-from pollenglade_core.call_counts import CountReader
-from pollenglade_core.outcome import Outcome
+from pollenglade_core.calls.burn import BUCKET_S
+from pollenglade_core.calls.burn import DEFAULT_OBJECTIVE
+from pollenglade_core.calls.burn import WINDOWS_S
+from pollenglade_core.calls.burn import BurnRates
+from pollenglade_core.calls.burn import Severity
+from pollenglade_core.calls.call_counts import CallCount
+from pollenglade_core.calls.call_counts import CallCounts
+from pollenglade_core.calls.call_counts import CountReader
+from pollenglade_core.calls.outcome import Outcome
 
 NOW = 100_000.0
 
--- a/packages/pollenglade-core/tests/test_core/test_call_handles.py
+++ b/packages/pollenglade-core/tests/test_core/test_call_handles.py
@@ -8,16 +8,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.call import MAX_DEPTH
-from pollenglade_core.call import CallContext
-from pollenglade_core.call_handles import CallHandles
-from pollenglade_core.call_handles import NestedCall
-from pollenglade_core.call_handles import nested
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.profile import RequestRule
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.calls.call import MAX_DEPTH
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.call_handles import CallHandles
+from pollenglade_core.calls.call_handles import NestedCall
+from pollenglade_core.calls.call_handles import nested
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_core.configuration.profile import RequestRule
 
 MAX_TREE_CALLS = 400
 ANY_RULE = RequestRule(extra_attempts=1_000)
--- a/packages/pollenglade-core/tests/test_core/test_claims.py
+++ b/packages/pollenglade-core/tests/test_core/test_claims.py
@@ -13,20 +13,20 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 
-from pollenglade_core.claim_messages import Answer
-from pollenglade_core.claim_messages import ClaimExists
-from pollenglade_core.claim_messages import DeadlinePassed
-from pollenglade_core.claim_messages import OutcomeUnknown
-from pollenglade_core.claim_messages import RepeatArrived
-from pollenglade_core.claim_messages import TargetNotRun
-from pollenglade_core.claim_messages import TargetResponded
-from pollenglade_core.claim_row import MAX_INLINE_BODY_BYTES
-from pollenglade_core.claim_row import ClaimRow
-from pollenglade_core.claim_row import RecordedResponse
-from pollenglade_core.claim_row import RowState
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.claims.claim_messages import Answer
+from pollenglade_core.claims.claim_messages import ClaimExists
+from pollenglade_core.claims.claim_messages import DeadlinePassed
+from pollenglade_core.claims.claim_messages import OutcomeUnknown
+from pollenglade_core.claims.claim_messages import RepeatArrived
+from pollenglade_core.claims.claim_messages import TargetNotRun
+from pollenglade_core.claims.claim_messages import TargetResponded
+from pollenglade_core.claims.claim_row import MAX_INLINE_BODY_BYTES
+from pollenglade_core.claims.claim_row import ClaimRow
+from pollenglade_core.claims.claim_row import RecordedResponse
+from pollenglade_core.claims.claim_row import RowState
 
 from .claim_world import DEADLINE_S
 from .claim_world import Attempt
--- a/packages/pollenglade-core/tests/test_core/test_configuration.py
+++ b/packages/pollenglade-core/tests/test_core/test_configuration.py
@@ -8,25 +8,25 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.configuration import Change
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Conflict
-from pollenglade_core.configuration import KeyChange
-from pollenglade_core.configuration import Kind
-from pollenglade_core.configuration import ProfileChange
-from pollenglade_core.configuration import Stamp
-from pollenglade_core.configuration import apply
-from pollenglade_core.configuration import subject_of
-from pollenglade_core.configuration_history import ConfigurationHistory
-from pollenglade_core.configuration_wire import change_from_wire
-from pollenglade_core.configuration_wire import change_to_wire
-from pollenglade_core.configuration_wire import from_wire
-from pollenglade_core.configuration_wire import to_wire
+from pollenglade_core.configuration.configuration import Change
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Conflict
+from pollenglade_core.configuration.configuration import KeyChange
+from pollenglade_core.configuration.configuration import Kind
+from pollenglade_core.configuration.configuration import ProfileChange
+from pollenglade_core.configuration.configuration import Stamp
+from pollenglade_core.configuration.configuration import apply
+from pollenglade_core.configuration.configuration import subject_of
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.configuration_wire import change_from_wire
+from pollenglade_core.configuration.configuration_wire import change_to_wire
+from pollenglade_core.configuration.configuration_wire import from_wire
+from pollenglade_core.configuration.configuration_wire import to_wire
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.profile import OrganisationContract
+from pollenglade_core.configuration.profile import Profile
+from pollenglade_core.configuration.profile import RequestRule
 from pollenglade_core.finding import Findings
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.profile import OrganisationContract
-from pollenglade_core.profile import Profile
-from pollenglade_core.profile import RequestRule
 
 STAMPS = st.builds(Stamp, st.text(max_size=4), st.floats(0, 1e10), st.uuids().map(str))
 REVISIONS = st.integers(0, 12)
--- a/packages/pollenglade-core/tests/test_core/test_golden_sessions.py
+++ b/packages/pollenglade-core/tests/test_core/test_golden_sessions.py
@@ -9,16 +9,16 @@
 from support.golden import Transcript
 from support.golden import check_golden
 
-from pollenglade_core.claim_messages import AnswerLost
-from pollenglade_core.claim_messages import ClaimEvent
-from pollenglade_core.claim_messages import ClaimExists
-from pollenglade_core.claim_messages import RecordLost
-from pollenglade_core.claim_messages import RepeatArrived
-from pollenglade_core.claim_messages import TargetResponded
-from pollenglade_core.claim_row import ClaimRow
-from pollenglade_core.claim_row import RecordedResponse
-from pollenglade_core.claim_row import RowState
-from pollenglade_core.claims import ClaimMachine
+from pollenglade_core.claims.claim_messages import AnswerLost
+from pollenglade_core.claims.claim_messages import ClaimEvent
+from pollenglade_core.claims.claim_messages import ClaimExists
+from pollenglade_core.claims.claim_messages import RecordLost
+from pollenglade_core.claims.claim_messages import RepeatArrived
+from pollenglade_core.claims.claim_messages import TargetResponded
+from pollenglade_core.claims.claim_row import ClaimRow
+from pollenglade_core.claims.claim_row import RecordedResponse
+from pollenglade_core.claims.claim_row import RowState
+from pollenglade_core.claims.claims import ClaimMachine
 from pollenglade_core.drain import Drain
 from pollenglade_core.drain import DrainEvent
 from pollenglade_core.drain import RunningCalls
--- a/packages/pollenglade-core/tests/test_core/test_granting_bucket.py
+++ b/packages/pollenglade-core/tests/test_core/test_granting_bucket.py
@@ -12,8 +12,8 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from pollenglade_core.granting_bucket import GrantingBucket
-from pollenglade_core.quota_messages import GRANT_LIFETIME_S
+from pollenglade_core.quota.granting_bucket import GrantingBucket
+from pollenglade_core.quota.quota_messages import GRANT_LIFETIME_S
 
 from .rate_window import excess
 
--- a/packages/pollenglade-core/tests/test_core/test_keys.py
+++ b/packages/pollenglade-core/tests/test_core/test_keys.py
@@ -10,13 +10,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.keys import SecretScanner
-from pollenglade_core.keys import find_secret
-from pollenglade_core.keys import hash_secret
-from pollenglade_core.keys import key_text
-from pollenglade_core.keys import matches
-from pollenglade_core.keys import parse_key
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.keys import SecretScanner
+from pollenglade_core.configuration.keys import find_secret
+from pollenglade_core.configuration.keys import hash_secret
+from pollenglade_core.configuration.keys import key_text
+from pollenglade_core.configuration.keys import matches
+from pollenglade_core.configuration.keys import parse_key
 
 KEY_IDS = st.from_regex(r"[A-Za-z0-9-]{1,64}", fullmatch=True)
 SECRETS = st.binary(min_size=32, max_size=32)
--- a/packages/pollenglade-core/tests/test_core/test_lease.py
+++ b/packages/pollenglade-core/tests/test_core/test_lease.py
@@ -10,21 +10,21 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.lease_evidence import AnnouncementWatch
-from pollenglade_core.lease_rows import SLOT_COUNT
-from pollenglade_core.lease_rows import SlotRow
-from pollenglade_core.lease_rows import StoredSlotRow
-from pollenglade_core.lease_rows import WriteSlot
-from pollenglade_core.lease_rows import preferred_holder
-from pollenglade_core.lease_rows import slot_of
-from pollenglade_core.quota import Account
-from pollenglade_core.quota import Denied
-from pollenglade_core.quota import Granted
-from pollenglade_core.quota import QuotaAsk
-from pollenglade_core.quota import QuotaHolder
-from pollenglade_core.quota import SlotHold
-from pollenglade_core.quota import ZoneShare
-from pollenglade_core.slot_lease import SlotLease
+from pollenglade_core.quota.lease_evidence import AnnouncementWatch
+from pollenglade_core.quota.lease_rows import SLOT_COUNT
+from pollenglade_core.quota.lease_rows import SlotRow
+from pollenglade_core.quota.lease_rows import StoredSlotRow
+from pollenglade_core.quota.lease_rows import WriteSlot
+from pollenglade_core.quota.lease_rows import preferred_holder
+from pollenglade_core.quota.lease_rows import slot_of
+from pollenglade_core.quota.quota import Account
+from pollenglade_core.quota.quota import Denied
+from pollenglade_core.quota.quota import Granted
+from pollenglade_core.quota.quota import QuotaAsk
+from pollenglade_core.quota.quota import QuotaHolder
+from pollenglade_core.quota.quota import SlotHold
+from pollenglade_core.quota.quota import ZoneShare
+from pollenglade_core.quota.slot_lease import SlotLease
 
 from .quota_fleet import TICK_S
 from .quota_fleet import Fleet
--- a/packages/pollenglade-core/tests/test_core/test_limit.py
+++ b/packages/pollenglade-core/tests/test_core/test_limit.py
@@ -11,7 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.limit import GradientLimit
+from pollenglade_core.admission.limit import GradientLimit
 
 
 class SaturatedTarget:
--- a/packages/pollenglade-core/tests/test_core/test_membership.py
+++ b/packages/pollenglade-core/tests/test_core/test_membership.py
@@ -10,14 +10,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.member import ServiceOffer
-from pollenglade_core.membership import GossipMessage
-from pollenglade_core.membership import Member
-from pollenglade_core.membership import MemberState
-from pollenglade_core.membership import MemberTable
-from pollenglade_core.membership import Ping
-from pollenglade_core.membership import Prober
-from pollenglade_core.membership import WireError
+from pollenglade_core.membership.member import ServiceOffer
+from pollenglade_core.membership.membership import GossipMessage
+from pollenglade_core.membership.membership import Member
+from pollenglade_core.membership.membership import MemberState
+from pollenglade_core.membership.membership import MemberTable
+from pollenglade_core.membership.membership import Ping
+from pollenglade_core.membership.membership import Prober
+from pollenglade_core.membership.membership import WireError
 
 OFFERS = (ServiceOffer("fees", 10),)
 
--- a/packages/pollenglade-core/tests/test_core/test_profile_file.py
+++ b/packages/pollenglade-core/tests/test_core/test_profile_file.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.configuration.profile import Profile
+from pollenglade_core.configuration.profile_file import profile_from_tables
+from pollenglade_core.configuration.profile_file import read_profile
 from pollenglade_core.finding import Findings
-from pollenglade_core.importance import Importance
-from pollenglade_core.profile import Profile
-from pollenglade_core.profile_file import profile_from_tables
-from pollenglade_core.profile_file import read_profile
 
 GOOD = b"""
 name = "residencies"
--- a/packages/pollenglade-core/tests/test_core/test_quarantine.py
+++ b/packages/pollenglade-core/tests/test_core/test_quarantine.py
@@ -8,14 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.quarantine import COMPLETED_SIZE
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.quarantine import CrashNotice
-from pollenglade_core.quarantine import suspect_runner
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.admission.quarantine import COMPLETED_SIZE
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
+from pollenglade_core.admission.quarantine import suspect_runner
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.retry import RetryAllowance
 
 NOTICES = st.lists(
     st.builds(
--- a/packages/pollenglade-core/tests/test_core/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota.py
@@ -13,13 +13,13 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from pollenglade_core.borrower_account import BorrowerAccount
-from pollenglade_core.quota import Account
-from pollenglade_core.quota import AskHolder
-from pollenglade_core.quota import QuotaBorrower
-from pollenglade_core.quota import Spent
-from pollenglade_core.quota import Waiting
-from pollenglade_core.quota_borrower import BorrowerAction
+from pollenglade_core.quota.borrower_account import BorrowerAccount
+from pollenglade_core.quota.quota import Account
+from pollenglade_core.quota.quota import AskHolder
+from pollenglade_core.quota.quota import QuotaBorrower
+from pollenglade_core.quota.quota import Spent
+from pollenglade_core.quota.quota import Waiting
+from pollenglade_core.quota.quota_borrower import BorrowerAction
 
 from .quota_fleet import TICK_S
 from .quota_fleet import Fleet
--- a/packages/pollenglade-core/tests/test_core/test_retry.py
+++ b/packages/pollenglade-core/tests/test_core/test_retry.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.retry import RetryAllowance
-from pollenglade_core.retry import RetryBudget
+from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_core.calls.retry import RetryBudget
 
 
 class RetryAllowanceTest(unittest.TestCase):
--- a/packages/pollenglade-core/tests/test_core/test_routing.py
+++ b/packages/pollenglade-core/tests/test_core/test_routing.py
@@ -13,11 +13,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.endpoint import Endpoint
-from pollenglade_core.endpoint import EndpointState
-from pollenglade_core.endpoint import Route
-from pollenglade_core.outcome import Reason
-from pollenglade_core.routing import Router
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.routing.endpoint import Endpoint
+from pollenglade_core.routing.endpoint import EndpointState
+from pollenglade_core.routing.endpoint import Route
+from pollenglade_core.routing.routing import Router
 
 
 def make_endpoint(node: str, zone: str = "z1", slots: int = 10) -> Endpoint:
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from pollenglade_core.outcome import Reason
+from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.serving.endpoint_queue import EndpointQueue
 from pollenglade_core.serving.endpoint_queue import QueuedRequest
 from pollenglade_core.serving.endpoint_queue import Reject
--- a/packages/pollenglade-core/tests/test_core/test_source_levels.py
+++ b/packages/pollenglade-core/tests/test_core/test_source_levels.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.admission_level import AdmissionLevel
-from pollenglade_core.importance import Importance
-from pollenglade_core.source_levels import PRUNE_SIZE
-from pollenglade_core.source_levels import SourceLevels
+from pollenglade_core.admission.admission_level import AdmissionLevel
+from pollenglade_core.admission.source_levels import PRUNE_SIZE
+from pollenglade_core.admission.source_levels import SourceLevels
+from pollenglade_core.calls.importance import Importance
 
 LEVELS = st.builds(AdmissionLevel, st.sampled_from(Importance), st.floats(0.0, 1.0))
 
--- a/packages/pollenglade-core/tests/test_core/test_zone_shares.py
+++ b/packages/pollenglade-core/tests/test_core/test_zone_shares.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.quota_messages import Account
-from pollenglade_core.zone_shares import contract_shares
-from pollenglade_core.zone_shares import home_zones
-from pollenglade_core.zone_shares import zone_shares
+from pollenglade_core.quota.quota_messages import Account
+from pollenglade_core.quota.zone_shares import contract_shares
+from pollenglade_core.quota.zone_shares import home_zones
+from pollenglade_core.quota.zone_shares import zone_shares
 
 WEIGHTS = st.dictionaries(
     st.text("abcdefg", min_size=1, max_size=2), st.integers(1, 50), min_size=1, max_size=7
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/control_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/control_cost.py
@@ -18,10 +18,10 @@
 import typer
 import uvloop
 
-from pollenglade_core.configuration import KeyChange
-from pollenglade_core.configuration import Stamp
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.keys import hash_secret
+from pollenglade_core.configuration.configuration import KeyChange
+from pollenglade_core.configuration.configuration import Stamp
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.keys import hash_secret
 from pollenglade_net.configuration_store import Committed
 from pollenglade_net.configuration_store import ConfigurationStore
 from pollenglade_net.http_client import Address
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/deployments.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/deployments.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pollenglade_core.importance import Importance
+from pollenglade_core.calls.importance import Importance
 
 from .workload import Deployment
 from .workload import Latency
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -24,10 +24,10 @@
 import typer
 import uvloop
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_client import Address
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/publication_command.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/publication_command.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from pollenglade_core.profile import Profile
+from pollenglade_core.configuration.profile import Profile
 from pollenglade_net.http_client import Address
 
 from .publication import profile_of
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/workload.py
@@ -10,7 +10,7 @@
 from functools import cached_property
 from random import Random
 
-from pollenglade_core.importance import Importance
+from pollenglade_core.calls.importance import Importance
 
 LATENCY_CEILING = 20.0
 """Largest multiple of the median that a service time takes.
--- a/packages/pollenglade-emulator/tests/test_emulator/test_workload.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_workload.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.call import MAX_DEPTH
+from pollenglade_core.calls.call import MAX_DEPTH
 from pollenglade_emulator.arrivals import Surge
 from pollenglade_emulator.arrivals import arrivals
 from pollenglade_emulator.arrivals import noisy_neighbour
--- a/packages/pollenglade-net/src/pollenglade_net/attempt.py
+++ b/packages/pollenglade-net/src/pollenglade_net/attempt.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.outcome import Refusal
 
 from .http_message import Headers
 from .link_message import Feedback
--- a/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
+++ b/packages/pollenglade-net/src/pollenglade_net/configuration_store.py
@@ -7,17 +7,17 @@
 
 import orjson
 
-from pollenglade_core.configuration import Change
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Conflict
-from pollenglade_core.configuration_head import HEAD_ROW
-from pollenglade_core.configuration_head import Head
-from pollenglade_core.configuration_head import head_from_wire
-from pollenglade_core.configuration_head import head_to_wire
-from pollenglade_core.configuration_head import snapshot_name
-from pollenglade_core.configuration_history import ConfigurationHistory
-from pollenglade_core.configuration_wire import from_wire
-from pollenglade_core.configuration_wire import to_wire
+from pollenglade_core.configuration.configuration import Change
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Conflict
+from pollenglade_core.configuration.configuration_head import HEAD_ROW
+from pollenglade_core.configuration.configuration_head import Head
+from pollenglade_core.configuration.configuration_head import head_from_wire
+from pollenglade_core.configuration.configuration_head import head_to_wire
+from pollenglade_core.configuration.configuration_head import snapshot_name
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.configuration_wire import from_wire
+from pollenglade_core.configuration.configuration_wire import to_wire
 from pollenglade_core.finding import Findings
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.randomness import jittered
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -11,10 +11,10 @@
 
 import msgpack
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 
 from .attempt import Attempt
 from .attempt import AttemptSink
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -13,12 +13,12 @@
 
 import msgpack
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
 
 from .http_message import MAX_BODY_BYTES
 from .http_message import Headers
--- a/packages/pollenglade-net/tests/test_net/test_configuration_store.py
+++ b/packages/pollenglade-net/tests/test_net/test_configuration_store.py
@@ -12,14 +12,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.configuration import Change
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Conflict
-from pollenglade_core.configuration import KeyChange
-from pollenglade_core.configuration import Kind
-from pollenglade_core.configuration import Stamp
-from pollenglade_core.configuration_history import ConfigurationHistory
-from pollenglade_core.keys import KeyRecord
+from pollenglade_core.configuration.configuration import Change
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Conflict
+from pollenglade_core.configuration.configuration import KeyChange
+from pollenglade_core.configuration.configuration import Kind
+from pollenglade_core.configuration.configuration import Stamp
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.keys import KeyRecord
 from pollenglade_emulator.platform_faults import Faults
 from pollenglade_emulator.platform_standin import PlatformStandIn
 from pollenglade_net.configuration_store import CommitResult
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -14,11 +14,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_message import Headers
--- a/packages/pollenglade-node/src/pollenglade_node/authentication.py
+++ b/packages/pollenglade-node/src/pollenglade_node/authentication.py
@@ -6,15 +6,15 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.keys import ParsedKey
-from pollenglade_core.keys import SecretScanner
-from pollenglade_core.keys import keys_in
-from pollenglade_core.keys import matches
-from pollenglade_core.keys import parse_key
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.keys import ParsedKey
+from pollenglade_core.configuration.keys import SecretScanner
+from pollenglade_core.configuration.keys import keys_in
+from pollenglade_core.configuration.keys import matches
+from pollenglade_core.configuration.keys import parse_key
 from pollenglade_net.http_message import HttpRequest
 
 AUTHORIZATION = b"authorization"
--- a/packages/pollenglade-node/src/pollenglade_node/call_counter.py
+++ b/packages/pollenglade-node/src/pollenglade_node/call_counter.py
@@ -9,9 +9,9 @@
 from time import monotonic
 from typing import NamedTuple
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
 
 LATENCY_BOUNDS_S = (
     0.0001,
--- a/packages/pollenglade-node/src/pollenglade_node/configuration_sync.py
+++ b/packages/pollenglade-node/src/pollenglade_node/configuration_sync.py
@@ -10,12 +10,12 @@
 import orjson
 import structlog
 
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration_history import ConfigurationHistory
-from pollenglade_core.configuration_wire import change_from_wire
-from pollenglade_core.configuration_wire import change_to_wire
-from pollenglade_core.configuration_wire import from_wire
-from pollenglade_core.configuration_wire import to_wire
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration_history import ConfigurationHistory
+from pollenglade_core.configuration.configuration_wire import change_from_wire
+from pollenglade_core.configuration.configuration_wire import change_to_wire
+from pollenglade_core.configuration.configuration_wire import from_wire
+from pollenglade_core.configuration.configuration_wire import to_wire
 from pollenglade_core.finding import Findings
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.configuration_store import ConfigurationStore
--- a/packages/pollenglade-node/src/pollenglade_node/count_batches.py
+++ b/packages/pollenglade-node/src/pollenglade_node/count_batches.py
@@ -10,9 +10,9 @@
 
 import structlog
 
-from pollenglade_core.call_counts import CallCounts
-from pollenglade_core.call_counts import CountBatch
-from pollenglade_core.outcome import Outcome
+from pollenglade_core.calls.call_counts import CallCounts
+from pollenglade_core.calls.call_counts import CountBatch
+from pollenglade_core.calls.outcome import Outcome
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
--- a/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
@@ -8,8 +8,8 @@
 from collections.abc import Sequence
 from time import monotonic
 
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.quarantine import CrashNotice
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
 
 from .links import Links
--- a/packages/pollenglade-node/src/pollenglade_node/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry_call.py
@@ -9,15 +9,15 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from pollenglade_core.admission_level import AdmissionLevel
-from pollenglade_core.call import CallContext
-from pollenglade_core.endpoint import Route
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.quarantine import suspect_runner
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.admission.admission_level import AdmissionLevel
+from pollenglade_core.admission.quarantine import suspect_runner
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_core.routing.endpoint import Route
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
--- a/packages/pollenglade-node/src/pollenglade_node/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/fleet.py
@@ -6,11 +6,11 @@
 from dataclasses import replace
 from hashlib import blake2b
 
-from pollenglade_core.endpoint import Endpoint
-from pollenglade_core.endpoint import EndpointState
-from pollenglade_core.member import Member
-from pollenglade_core.member import MemberState
-from pollenglade_core.member import ServiceOffer
+from pollenglade_core.membership.member import Member
+from pollenglade_core.membership.member import MemberState
+from pollenglade_core.membership.member import ServiceOffer
+from pollenglade_core.routing.endpoint import Endpoint
+from pollenglade_core.routing.endpoint import EndpointState
 from pollenglade_net.http_client import Address
 
 from .gossip import Gossip
--- a/packages/pollenglade-node/src/pollenglade_node/gossip.py
+++ b/packages/pollenglade-node/src/pollenglade_node/gossip.py
@@ -12,15 +12,15 @@
 import orjson
 import structlog
 
-from pollenglade_core.member import Member
-from pollenglade_core.member import MemberState
-from pollenglade_core.member_table import MemberTable
-from pollenglade_core.membership import GossipMessage
-from pollenglade_core.membership import Ping
-from pollenglade_core.membership import PingVia
-from pollenglade_core.membership import Prober
-from pollenglade_core.membership import WireError
-from pollenglade_core.prober import PROBE_TIMEOUT_S
+from pollenglade_core.membership.member import Member
+from pollenglade_core.membership.member import MemberState
+from pollenglade_core.membership.member_table import MemberTable
+from pollenglade_core.membership.membership import GossipMessage
+from pollenglade_core.membership.membership import Ping
+from pollenglade_core.membership.membership import PingVia
+from pollenglade_core.membership.membership import Prober
+from pollenglade_core.membership.membership import WireError
+from pollenglade_core.membership.prober import PROBE_TIMEOUT_S
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import HttpClient
--- a/packages/pollenglade-node/src/pollenglade_node/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/links.py
@@ -12,10 +12,10 @@
 
 import structlog
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_client import Address
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -5,13 +5,13 @@
 from time import monotonic
 from typing import Protocol
 
-from pollenglade_core.call import CallContext
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.dispatch.tree_cost import UsageByService
 from pollenglade_core.dispatch.tree_cost import add_usage
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_client import ClientConnection
 from pollenglade_net.http_message import FailureReason
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -11,12 +11,12 @@
 
 import structlog
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.quarantine import CrashNotice
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.serving.endpoint_queue import EndpointQueue
 from pollenglade_core.serving.endpoint_queue import QueueAction
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -7,7 +7,11 @@
 from hashlib import blake2b
 from time import monotonic
 
-from pollenglade_core.call import CallContext
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.dispatch.learnt_trees import LearntTree
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
@@ -15,14 +19,10 @@
 from pollenglade_core.dispatch.tree_admission import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
 from pollenglade_core.dispatch.tree_cost import TreeCosts
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
 from pollenglade_core.policy.weighted_split import WeightedSplit
-from pollenglade_core.quarantine import CrashLedger
 from pollenglade_core.randomness import jittered
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -6,19 +6,19 @@
 from time import monotonic
 from typing import Protocol
 
-from pollenglade_core.call import CallContext
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import STATUS_BY_REASON
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.dispatch.tree_cost import UsageByService
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import STATUS_BY_REASON
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
-from pollenglade_core.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -9,13 +9,13 @@
 
 import structlog
 
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.quarantine import CrashNotice
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import Hello
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -11,7 +11,7 @@
 from .mesh_metrics import LatencyHistogram
 
 if TYPE_CHECKING:
-    from pollenglade_core.outcome import Refusal
+    from pollenglade_core.calls.outcome import Refusal
 
     from .endpoint_call import EndpointCall
     from .mesh_call import FinalAnswer
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/response_check.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/response_check.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.http_message import Headers
 
 from .header_names import HeaderNames
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -10,8 +10,14 @@
 
 import structlog
 
-from pollenglade_core.call_handles import CallHandles
-from pollenglade_core.configuration import Configuration
+from pollenglade_core.admission.limit import ConcurrencyLimit
+from pollenglade_core.admission.limit import FixedLimit
+from pollenglade_core.admission.limit import GradientLimit
+from pollenglade_core.admission.limit import NoLimit
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.source_levels import SourceLevels
+from pollenglade_core.calls.call_handles import CallHandles
+from pollenglade_core.configuration.configuration import Configuration
 from pollenglade_core.drain import AnnounceLeaving
 from pollenglade_core.drain import Drain
 from pollenglade_core.drain import DrainAction
@@ -20,16 +26,10 @@
 from pollenglade_core.drain import RunningCalls
 from pollenglade_core.drain import SendDrainOnLinks
 from pollenglade_core.drain import StopRequested
-from pollenglade_core.limit import ConcurrencyLimit
-from pollenglade_core.limit import FixedLimit
-from pollenglade_core.limit import GradientLimit
-from pollenglade_core.limit import NoLimit
-from pollenglade_core.member import Member
-from pollenglade_core.member import ServiceOffer
-from pollenglade_core.membership import GossipMessage
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.routing import Router
-from pollenglade_core.source_levels import SourceLevels
+from pollenglade_core.membership.member import Member
+from pollenglade_core.membership.member import ServiceOffer
+from pollenglade_core.membership.membership import GossipMessage
+from pollenglade_core.routing.routing import Router
 from pollenglade_net.configuration_store import ConfigurationStore
 from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import ConnectionPool
--- a/packages/pollenglade-node/src/pollenglade_node/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/presence.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 from time import monotonic
 
-from pollenglade_core.member import Member
-from pollenglade_core.member import MemberState
-from pollenglade_core.member import ServiceOffer
+from pollenglade_core.membership.member import Member
+from pollenglade_core.membership.member import MemberState
+from pollenglade_core.membership.member import ServiceOffer
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.platform_api import Row
 from pollenglade_net.platform_api import Table
--- a/packages/pollenglade-node/src/pollenglade_node/quota_wire.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota_wire.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Sequence
 
-from pollenglade_core.lease_rows import SlotRow
-from pollenglade_core.lease_rows import StoredSlotRow
-from pollenglade_core.quota import Account
-from pollenglade_core.quota import QuotaAsk
-from pollenglade_core.quota import Settlement
+from pollenglade_core.quota.lease_rows import SlotRow
+from pollenglade_core.quota.lease_rows import StoredSlotRow
+from pollenglade_core.quota.quota import Account
+from pollenglade_core.quota.quota import QuotaAsk
+from pollenglade_core.quota.quota import Settlement
 from pollenglade_net.platform_api import Row
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/refusal_response.py
+++ b/packages/pollenglade-node/src/pollenglade_node/refusal_response.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_server import Exchange
 
--- a/packages/pollenglade-node/src/pollenglade_node/serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving.py
@@ -10,16 +10,16 @@
 
 import structlog
 
-from pollenglade_core.admission import Action
-from pollenglade_core.admission import Admit
-from pollenglade_core.call import CallContext
-from pollenglade_core.call_handles import CallHandles
-from pollenglade_core.limit import ConcurrencyLimit
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
-from pollenglade_core.quarantine import CrashLedger
-from pollenglade_core.quarantine import CrashNotice
+from pollenglade_core.admission.admission import Action
+from pollenglade_core.admission.admission import Admit
+from pollenglade_core.admission.limit import ConcurrencyLimit
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.call_handles import CallHandles
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.randomness import jittered
 from pollenglade_net.attempt import AttemptSink
--- a/packages/pollenglade-node/src/pollenglade_node/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving_call.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.outcome import Refusal
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_client import FRESH_IDLE_S
 from pollenglade_net.http_client import MAX_IDLE_S
--- a/packages/pollenglade-node/src/pollenglade_node/settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/settings.py
@@ -14,9 +14,9 @@
 from pydantic_settings import BaseSettings
 from pydantic_settings import SettingsConfigDict
 
+from pollenglade_core.configuration.profile import NAME_PATTERN
 from pollenglade_core.finding import Finding
 from pollenglade_core.finding import Findings
-from pollenglade_core.profile import NAME_PATTERN
 from pollenglade_core.variables import PREFIX
 from pollenglade_core.variables import unknown_variables
 from pollenglade_net.http_client import Address
--- a/packages/pollenglade-node/src/pollenglade_node/target.py
+++ b/packages/pollenglade-node/src/pollenglade_node/target.py
@@ -4,8 +4,8 @@
 
 from enum import StrEnum
 
-from pollenglade_core.admission import Admission
-from pollenglade_core.limit import ConcurrencyLimit
+from pollenglade_core.admission.admission import Admission
+from pollenglade_core.admission.limit import ConcurrencyLimit
 from pollenglade_core.randomness import RandomSource
 from pollenglade_net.http_client import Address
 
--- a/packages/pollenglade-node/tests/test_node/test_counts.py
+++ b/packages/pollenglade-node/tests/test_node/test_counts.py
@@ -10,11 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenglade_core.call import CallContext
-from pollenglade_core.importance import Importance
-from pollenglade_core.outcome import Outcome
-from pollenglade_core.outcome import Reason
-from pollenglade_core.retry import RetryAllowance
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
+from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import unpack_feedback
--- a/packages/pollenglade-node/tests/test_node/test_presence.py
+++ b/packages/pollenglade-node/tests/test_node/test_presence.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from pollenglade_core.member import Member
+from pollenglade_core.membership.member import Member
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.platform_api import Absent
 from pollenglade_net.platform_api import ReadResult
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -21,13 +21,13 @@
 
 import orjson
 
-from pollenglade_core.configuration import KeyChange
-from pollenglade_core.configuration import Stamp
-from pollenglade_core.keys import SECRET_BYTES
-from pollenglade_core.keys import KeyRecord
-from pollenglade_core.keys import hash_secret
-from pollenglade_core.keys import key_text
-from pollenglade_core.keys import parse_key
+from pollenglade_core.configuration.configuration import KeyChange
+from pollenglade_core.configuration.configuration import Stamp
+from pollenglade_core.configuration.keys import SECRET_BYTES
+from pollenglade_core.configuration.keys import KeyRecord
+from pollenglade_core.configuration.keys import hash_secret
+from pollenglade_core.configuration.keys import key_text
+from pollenglade_core.configuration.keys import parse_key
 from pollenglade_emulator.deployments import RESIDENCIES
 from pollenglade_emulator.processes import NodeProcess
 from pollenglade_emulator.processes import Processes
--- a/tests/test_system/test_configuration_races.py
+++ b/tests/test_system/test_configuration_races.py
@@ -18,9 +18,9 @@
 from pollenglade_cli.report import Report
 from pollenglade_cli.session import Session
 from pollenglade_cli.settings import Settings
-from pollenglade_core.configuration import Configuration
-from pollenglade_core.configuration import Kind
-from pollenglade_core.configuration import ProfileChange
+from pollenglade_core.configuration.configuration import Configuration
+from pollenglade_core.configuration.configuration import Kind
+from pollenglade_core.configuration.configuration import ProfileChange
 from pollenglade_core.finding import Finding
 from pollenglade_emulator.processes import NODE_MODULE
 from pollenglade_emulator.processes import NodeProcess
--- a/tests/test_system/test_demo.py
+++ b/tests/test_system/test_demo.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from unittest import mock
 
-from pollenglade_core.keys import parse_key
+from pollenglade_core.configuration.keys import parse_key
 from pollenglade_emulator import demo
 from pollenglade_emulator.deployments import SALAIRES
 from pollenglade_emulator.fleet import start_fleet
--- a/tests/test_system/test_faulty_targets.py
+++ b/tests/test_system/test_faulty_targets.py
@@ -11,7 +11,7 @@
 from support.zoned_fleet import ZonedFleet
 from support.zoned_fleet import outcome
 
-from pollenglade_core.endpoint import RAMP_S
+from pollenglade_core.routing.endpoint import RAMP_S
 from pollenglade_emulator.target import POISON_PATH
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpResponse
--- a/tests/test_system/test_importance.py
+++ b/tests/test_system/test_importance.py
@@ -11,7 +11,7 @@
 from support.system import System
 from support.system import started
 
-from pollenglade_core.outcome import REASONS_FOR_LOAD
+from pollenglade_core.calls.outcome import REASONS_FOR_LOAD
 from pollenglade_emulator.processes import NodeProcess
 from pollenglade_net.http_message import HttpResponse
 
--- a/tests/test_system/test_quota_partition.py
+++ b/tests/test_system/test_quota_partition.py
@@ -13,7 +13,7 @@
 from support.zoned_fleet import ZonedFleet
 from support.zoned_fleet import outcome
 
-from pollenglade_core.lease_rows import slot_of
+from pollenglade_core.quota.lease_rows import slot_of
 from pollenglade_net.http_client import HttpClient
 
 RATE_PER_S = 40
--- a/tests/test_system/test_refusals.py
+++ b/tests/test_system/test_refusals.py
@@ -6,8 +6,8 @@
 
 from support.system import started
 
-from pollenglade_core.keys import SECRET_BYTES
-from pollenglade_core.keys import key_text
+from pollenglade_core.configuration.keys import SECRET_BYTES
+from pollenglade_core.configuration.keys import key_text
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpResponse
 
--- a/tests/test_system/test_retries.py
+++ b/tests/test_system/test_retries.py
@@ -9,8 +9,8 @@
 from support.system import System
 from support.system import started
 
-from pollenglade_core.call import MAX_DEPTH
-from pollenglade_core.profile import RequestRule
+from pollenglade_core.calls.call import MAX_DEPTH
+from pollenglade_core.configuration.profile import RequestRule
 from pollenglade_emulator.processes import NodeProcess
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpRequest
