--- a/packages/pollenglade-node/src/pollenglade_node/claim_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/claim_service.py
@@ -45,7 +45,7 @@
 from pollenglade_net.platform_api import VersionConflict
 from pollenglade_net.platform_api import Written
 
-from .entry_call import EntryCall
+from .entry.entry_call import EntryCall
 
 ClaimName = tuple[str, str]
 """Organisation and hash of the idempotency key."""
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control port: status, metrics and configuration."""
--- a/packages/pollenglade-node/src/pollenglade_node/control.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/control.py
@@ -18,8 +18,8 @@
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 
-from .serving import Serving
-from .target import TargetState
+from ..serving.serving import Serving
+from ..serving.target import TargetState
 
 Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
--- a/packages/pollenglade-node/src/pollenglade_node/metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/metrics.py
@@ -21,16 +21,16 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 
-from .call_counter import LATENCY_BOUNDS_S
-from .call_counter import CallCounter
+from ..entry.call_counter import LATENCY_BOUNDS_S
+from ..entry.call_counter import CallCounter
+from ..membership.fleet import Fleet
+from ..membership.links import Links
+from ..quota.quota_service import QuotaService
+from ..serving.serving import Serving
+from ..serving.target import Target
 from .configuration_sync import ConfigurationSync
-from .fleet import Fleet
-from .links import Links
 from .metrics_text import CONTENT_TYPE
 from .metrics_text import render
-from .quota_service import QuotaService
-from .serving import Serving
-from .target import Target
 
 MAX_SERIES = 50_000
 """Series of one instrument; the default of 2,000 would merge calls of 100 organisations."""
--- a/packages/pollenglade-node/src/pollenglade_node/status.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/status.py
@@ -8,13 +8,13 @@
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 
+from ..entry.entry import Entry
+from ..membership.fleet import Fleet
+from ..quota.quota_service import QuotaService
+from ..serving.serving import Serving
+from ..serving.target import Target
+from ..settings import NodeSettings
 from .configuration_sync import ConfigurationSync
-from .entry import Entry
-from .fleet import Fleet
-from .quota_service import QuotaService
-from .serving import Serving
-from .settings import NodeSettings
-from .target import Target
 
 QUOTA_SETTLE_LIMIT_S = 10.0
 """Time after which a node is ready although it could not claim its slots.
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of callers on this host."""
--- a/packages/pollenglade-node/src/pollenglade_node/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
@@ -27,6 +27,8 @@
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.http_server import Exchange
 
+from ..serving.serving import Serving
+from ..serving.serving_call import Child
 from .authentication import AUTHORIZATION
 from .authentication import CALL_HANDLE
 from .authentication import KEY_EXPOSED
@@ -35,8 +37,6 @@
 from .call_counter import CallCounter
 from .entry_call import EntryCall
 from .refusal_response import respond_refusal
-from .serving import Serving
-from .serving_call import Child
 
 RETRY_AFTER_S = 0.5
 RESERVED_PREFIX = b"pollenglade-"
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, gossip and the links between nodes."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -30,7 +30,7 @@
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.http_server import Exchange
 
-from ..links import Links
+from ..membership.links import Links
 from .endpoint_serving import EndpointServing
 from .header_names import HeaderNames
 from .mesh_call import RETRY_AFTER_S
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
@@ -77,8 +77,8 @@
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Answer `GET /metrics`."""
-        from ..metrics_text import CONTENT_TYPE
-        from ..metrics_text import render
+        from ..control.metrics_text import CONTENT_TYPE
+        from ..control.metrics_text import render
 
         if request.target.partition(b"?")[0] != b"/metrics":
             return HttpResponse(404)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -20,9 +20,9 @@
 from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import Hello
 
-from ..crash_notices import CRASH_TOPIC
-from ..crash_notices import CrashNotices
-from ..links import Links
+from ..membership.links import Links
+from ..serving.crash_notices import CRASH_TOPIC
+from ..serving.crash_notices import CrashNotices
 from .endpoint_serving import EndpointServing
 from .entry import MeshEntry
 from .header_names import HeaderNames
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -20,8 +20,8 @@
 from pollenglade_core.dispatch.tree_admission import SlotUse
 from pollenglade_net.http_client import Address
 
-from ..links import Links
-from ..links import PeerAddress
+from ..membership.links import Links
+from ..membership.links import PeerAddress
 
 STATE_TOPIC = "state"
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/policy_holder.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/policy_holder.py
@@ -9,7 +9,7 @@
 
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
 
-from ..links import Links
+from ..membership.links import Links
 
 POLICY_TOPIC = "policy"
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -15,7 +15,7 @@
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.randomness import RandomSource
 
-from ..links import Links
+from ..membership.links import Links
 
 LOAN_TOPIC = "loan"
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/tree_memory.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/tree_memory.py
@@ -10,7 +10,7 @@
 
 from pollenglade_core.dispatch.learnt_trees import LearntTree
 
-from ..links import Links
+from ..membership.links import Links
 from .entry import MeshEntry
 
 TREES_TOPIC = "trees"
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -39,29 +39,29 @@
 from pollenglade_net.link_message import Hello
 from pollenglade_net.platform_client import PlatformClient
 
-from .call_counter import CallCounter
 from .claim_service import CLAIM_TOPIC
 from .claim_service import ClaimService
-from .configuration_sync import ConfigurationSync
-from .control import ControlApi
-from .control import add_target_route
-from .count_batches import CountBatches
-from .crash_notices import CRASH_TOPIC
-from .crash_notices import LEDGER_TOPIC
-from .crash_notices import CrashNotices
-from .entry import Entry
-from .fleet import Fleet
-from .gossip import Gossip
-from .links import Links
-from .metrics import Metrics
-from .metrics import Parts
-from .presence import Presence
-from .quota_service import ASK_TOPIC
-from .quota_service import SETTLE_TOPIC
-from .quota_service import QuotaService
-from .serving import Serving
+from .control.configuration_sync import ConfigurationSync
+from .control.control import ControlApi
+from .control.control import add_target_route
+from .control.metrics import Metrics
+from .control.metrics import Parts
+from .control.status import Status
+from .entry.call_counter import CallCounter
+from .entry.count_batches import CountBatches
+from .entry.entry import Entry
+from .membership.fleet import Fleet
+from .membership.gossip import Gossip
+from .membership.links import Links
+from .membership.presence import Presence
+from .quota.quota_service import ASK_TOPIC
+from .quota.quota_service import SETTLE_TOPIC
+from .quota.quota_service import QuotaService
+from .serving.crash_notices import CRASH_TOPIC
+from .serving.crash_notices import LEDGER_TOPIC
+from .serving.crash_notices import CrashNotices
+from .serving.serving import Serving
 from .settings import NodeSettings
-from .status import Status
 
 RELEASE_TIMEOUT_S = 2.0
 
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Slots and asks between nodes."""
--- a/packages/pollenglade-node/src/pollenglade_node/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
@@ -45,8 +45,8 @@
 from pollenglade_net.platform_api import VersionConflict
 from pollenglade_net.platform_api import Written
 
-from .announcement import announcement_from_wire
-from .announcement import row_name
+from ..membership.announcement import announcement_from_wire
+from ..membership.announcement import row_name
 from .quota_wire import account_from_wire
 from .quota_wire import ask_from_wire
 from .quota_wire import ask_to_wire
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Calls at the targets of this host."""
--- a/packages/pollenglade-node/src/pollenglade_node/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
@@ -12,7 +12,7 @@
 from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
 
-from .links import Links
+from ..membership.links import Links
 
 CRASH_TOPIC = "crash-notices"
 LEDGER_TOPIC = "crash-ledger"
--- a/packages/pollenglade-node/tests/test_node/test_counts.py
+++ b/packages/pollenglade-node/tests/test_node/test_counts.py
@@ -18,9 +18,9 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import unpack_feedback
-from pollenglade_node.call_counter import CALLER_REASONS
-from pollenglade_node.call_counter import CallCounter
-from pollenglade_node.count_batches import CountBatches
+from pollenglade_node.entry.call_counter import CALLER_REASONS
+from pollenglade_node.entry.call_counter import CallCounter
+from pollenglade_node.entry.count_batches import CountBatches
 from pollenglade_node.node import Node
 from pollenglade_node.settings import NodeSettings
 
--- a/packages/pollenglade-node/tests/test_node/test_presence.py
+++ b/packages/pollenglade-node/tests/test_node/test_presence.py
@@ -14,15 +14,15 @@
 from pollenglade_net.platform_api import VersionConflict
 from pollenglade_net.platform_api import WriteResult
 from pollenglade_net.platform_api import Written
-from pollenglade_node.announcement import STALE_AFTER_S
-from pollenglade_node.announcement import TOMBSTONE
-from pollenglade_node.announcement_sweep import MAX_WRITES
-from pollenglade_node.announcement_sweep import ROW_RETENTION_S
-from pollenglade_node.announcement_sweep import sweep
-from pollenglade_node.fleet import Fleet
-from pollenglade_node.gossip import Gossip
-from pollenglade_node.presence import Presence
-from pollenglade_node.presence import members_from_rows
+from pollenglade_node.membership.announcement import STALE_AFTER_S
+from pollenglade_node.membership.announcement import TOMBSTONE
+from pollenglade_node.membership.announcement_sweep import MAX_WRITES
+from pollenglade_node.membership.announcement_sweep import ROW_RETENTION_S
+from pollenglade_node.membership.announcement_sweep import sweep
+from pollenglade_node.membership.fleet import Fleet
+from pollenglade_node.membership.gossip import Gossip
+from pollenglade_node.membership.presence import Presence
+from pollenglade_node.membership.presence import members_from_rows
 
 WALL_S = 1e9
 
