--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -20,15 +20,19 @@
 
 from .tree_cost import UsageByService
 
-USE_BY_PRIORITY = (1.25, 1.1, 0.95)
+USE_BY_PRIORITY = (1.3, 1.15, 1.0)
 """Part of a service's slots that may be spoken for, by priority; the least important requests give
 way first, and the last parts above 1 wait in the queue for a moment."""
 
 MIN_SUCCESS = 0.2
 """Expected part of the trees that finish, below which a request with nested calls is refused."""
 
-RESIDENCE_RISE = 0.002
-"""Part by which the time of an undisturbed tree rises with each slower request that is seen."""
+RESIDENCE_WEIGHT = 0.05
+"""Weight of one finished request in the mean time of an undisturbed tree."""
+
+MIN_UNDISTURBED = 0.6
+"""Smallest part of a tree's time that counts as undisturbed; calls that wait side by side would
+otherwise count their queues twice."""
 
 MIN_RESIDENCE_S = 0.005
 """Lower bound in seconds on the time of a tree, against a division by nearly zero."""
@@ -37,8 +41,8 @@
 OFFERED_AVERAGE_S = 1.0
 """Time constants in seconds of the averages of occupied and of demanded slots."""
 
-RETRY_AFTER_MIN_S = 0.25
-RETRY_AFTER_MAX_S = 2.0
+RETRY_AFTER_MIN_S = 0.8
+RETRY_AFTER_MAX_S = 3.0
 """Bounds in seconds on the delay that a refused caller is asked for."""
 
 UNKNOWN_SLOTS = 0.0
@@ -150,18 +154,15 @@
             account = self._account_by_service[service] = _Account()
         return account
 
-    def learn(self, route: str, residence_s: float) -> None:
-        """Take the time of a request that was served, queues included.
+    def learn(self, route: str, residence_s: float, usage: UsageByService) -> None:
+        """Take the time of a request that was served, and the usage of its tree.
 
-        The estimate follows the shortest times, because queues must not count as need for slots.
+        Time in queues is left out, because it must not count as need for slots.
         """
-        known = self._residence_by_route.get(route)
-        if known is None:
-            self._residence_by_route[route] = residence_s
-        elif residence_s < known:
-            self._residence_by_route[route] = known + (residence_s - known) * 0.1
-        else:
-            self._residence_by_route[route] = known * (1.0 + RESIDENCE_RISE)
+        waited_s = sum(item.wait_s for item in usage.values())
+        undisturbed_s = max(residence_s - waited_s, residence_s * MIN_UNDISTURBED)
+        known = self._residence_by_route.setdefault(route, undisturbed_s)
+        self._residence_by_route[route] = known + (undisturbed_s - known) * RESIDENCE_WEIGHT
 
     def residence_s(self, route: str) -> float | None:
         """Return the time of an undisturbed request; None where none was seen."""
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
@@ -11,10 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Calls to a service and the slot time that they took in seconds."""
+    """Calls to a service, the slot time that they took and their time in queues, in seconds."""
 
     calls: float
     slot_s: float
+    wait_s: float = 0.0
 
 
 UsageByService = Mapping[str, Usage]
@@ -26,7 +27,11 @@
     for service, usage in second.items():
         known = total.get(service)
         if known is not None:
-            usage = Usage(known.calls + usage.calls, known.slot_s + usage.slot_s)
+            usage = Usage(
+                known.calls + usage.calls,
+                known.slot_s + usage.slot_s,
+                known.wait_s + usage.wait_s,
+            )
         total[service] = usage
     return total
 
@@ -50,6 +55,7 @@
             known[service] = Usage(
                 old.calls + (new.calls - old.calls) * LEARNING_WEIGHT,
                 old.slot_s + (new.slot_s - old.slot_s) * LEARNING_WEIGHT,
+                old.wait_s + (new.wait_s - old.wait_s) * LEARNING_WEIGHT,
             )
 
     def restore(self, route: str, usage: UsageByService) -> None:
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -22,8 +22,13 @@
 EXPECTED_WEIGHT = 0.05
 """Weight of a new measurement in the moving average of the time at the endpoint."""
 
-FAILURE_WEIGHT = 0.05
-"""Weight of one result in the moving average of failures."""
+FAILURE_AVERAGE_S = 0.7
+"""Time constant in seconds of the failure rate; it must fall soon when an endpoint is well again,
+also where few requests are left that show it."""
+
+MIN_FAILURE_WEIGHT = 0.02
+MAX_FAILURE_WEIGHT = 0.2
+"""Bounds on the weight of one result in the failure rate."""
 
 FULL_PART = 0.95
 """Part of the slots that is used; endpoints slow down where all of them are taken."""
@@ -77,6 +82,7 @@
         self._serial = 0
         self._expected_s = EXPECTED_S
         self._failure_rate = 0.0
+        self._failure_at = 0.0
 
     @property
     def running(self) -> int:
@@ -98,9 +104,12 @@
         """Recent part of the requests that the endpoint rejected or did not answer."""
         return self._failure_rate
 
-    def note_result(self, failed: bool) -> None:
+    def note_result(self, failed: bool, now: float) -> None:
         """Learn from the result of a request."""
-        self._failure_rate += ((1.0 if failed else 0.0) - self._failure_rate) * FAILURE_WEIGHT
+        age_s = max(0.0, now - self._failure_at)
+        self._failure_at = now
+        weight = min(MAX_FAILURE_WEIGHT, max(MIN_FAILURE_WEIGHT, age_s / FAILURE_AVERAGE_S))
+        self._failure_rate += ((1.0 if failed else 0.0) - self._failure_rate) * weight
 
     @property
     def wait_s(self) -> float:
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
@@ -62,7 +62,7 @@
         self.in_time = self.late = self.failed = self.refused = 0
         for item in self.admissions:
             for _ in range(50):
-                item.learn("browse", ROOT_S + LEAF_CALLS * LEAF_S)
+                item.learn("browse", ROOT_S + LEAF_CALLS * LEAF_S, USAGE)
 
     def slots(self, service: str) -> float:
         return sum(queue.limit for queue in self.queues) if service == "jury" else 1000.0
@@ -191,12 +191,26 @@
 
     def test_single_calls_go_on(self) -> None:
         item = TreeAdmission()
-        item.learn("view", 0.02)
+        item.learn("view", 0.02, {})
         model = Model(admission=True, shed=0.55)
         model.asking = 0
         self.assertIsNone(item.check("view", 1, {"jury": Usage(1, 0.02)}, model, 0.5, 0.0))
 
 
+class LearningTest(unittest.TestCase):
+    """What is learnt from requests of uneven length that had to wait."""
+
+    def test_uneven_requests_and_queues_do_not_change_the_need_for_slots(self) -> None:
+        """An estimate by the shortest times refuses at two thirds of the capacity."""
+        source = random.Random(5)
+        item = TreeAdmission()
+        for _ in range(2000):
+            work_s = source.choice((0.05, 0.1, 0.15, 0.2))
+            waited = {"jury": Usage(4, 0.06, 0.05)}
+            item.learn("browse", work_s + 0.05, waited)
+        self.assertAlmostEqual(item.occupancy("browse", USAGE)["jury"], 0.06 / 0.125, delta=0.08)
+
+
 class RetryAfterTest(unittest.TestCase):
     """What a refused caller is told."""
 
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -76,3 +76,17 @@
     def test_more_slots_start_waiting_requests(self) -> None:
         self.queue.offer(request("a"), 0.0)
         self.assertEqual(self.queue.resize(10, 0.1), [Start("a")])
+
+
+class FailureRateTest(unittest.TestCase):
+    """Requests of an endpoint that fails and is well again."""
+
+    def test_a_failing_time_is_forgotten_although_few_requests_show_it(self) -> None:
+        """Call trees are refused while the rate is high, so few requests are left."""
+        queue = EndpointQueue(5)
+        for step in range(400):
+            queue.note_result(step % 20 < 11, step * 0.01)
+        self.assertAlmostEqual(queue.failure_rate, 0.55, delta=0.25)
+        for step in range(15):
+            queue.note_result(False, 4.0 + step * 0.1)
+        self.assertLess(queue.failure_rate, 0.1)
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -87,15 +87,16 @@
     `unspent` is the part of the lent retry allowance that was not used. Calls below the importance
     `level` are refused at present, and the fraction `level_fraction` of those at the level.
     `target_s` is the time at the target in seconds; it is sent with responses only. `usage` has the
-    calls and slot seconds of the call tree by service, `load` the running and waiting calls, the
-    limit and the expected seconds at the endpoint; both are empty where the peer does not tell.
+    calls, slot seconds and seconds in queues of the call tree by service. `load` has the running
+    and waiting calls, the limit, the expected seconds at the endpoint and its failure rate. Both are
+    empty where the peer does not tell.
     """
 
     unspent: int = 0
     level: int = 0
     level_fraction: float = 0.0
     target_s: float = 0.0
-    usage: tuple[tuple[str, float, float], ...] = ()
+    usage: tuple[tuple[str, float, float, float], ...] = ()
     load: tuple[float, ...] = ()
 
 
@@ -310,18 +311,19 @@
 
 def _usage_and_load(
     message: Sequence[object], position: int
-) -> tuple[tuple[tuple[str, float, float], ...], tuple[float, ...]]:
+) -> tuple[tuple[tuple[str, float, float, float], ...], tuple[float, ...]]:
     """Decode the usage and the load of feedback; peers of an older release send neither."""
     if len(message) < position + 2:
         return (), ()
     usage, load = message[position : position + 2]
     if not isinstance(usage, list) or not isinstance(load, list):
         raise LinkError("the usage or the load of feedback is not an array")
-    items: list[tuple[str, float, float]] = []
+    items: list[tuple[str, float, float, float]] = []
     for item in usage:
-        if not isinstance(item, list) or len(item) != 3 or not isinstance(item[0], str):
-            raise LinkError("a usage is not a service with two numbers")
-        items.append((item[0], _number(item[1]), _number(item[2])))
+        if not isinstance(item, list) or len(item) != 4 or not isinstance(item[0], str):
+            raise LinkError("a usage is not a service with three numbers")
+        calls, slot_s, wait_s = (_number(value) for value in item[1:])
+        items.append((item[0], calls, slot_s, wait_s))
     return tuple(items), tuple(_number(value) for value in load)
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -83,6 +83,7 @@
         self._request = request
         self._sink: AttemptSink | None = sink
         self._connection: ClientConnection | None = None
+        self._queued_at = monotonic()
         self._started_at: float | None = None
         self._status = 0
         self._headers: Headers = []
@@ -243,11 +244,15 @@
         target_s = 0.0 if started_at is None else monotonic() - started_at
         usage = self._nested_usage
         if started_at is not None:
-            usage = add_usage(usage, {self.context.service: Usage(1.0, target_s)})
+            wait_s = started_at - self._queued_at
+            usage = add_usage(usage, {self.context.service: Usage(1.0, target_s, wait_s)})
         self._owner.on_ended(self, completed)
         return Feedback(
             unspent=0 if self.nested_failed else self.context.allowance.remaining,
             target_s=target_s,
-            usage=tuple((name, item.calls, item.slot_s) for name, item in usage.items()),
+            usage=tuple(
+                (name, item.calls, item.slot_s, round(item.wait_s, 6))
+                for name, item in usage.items()
+            ),
             load=self._owner.load(),
         )
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -261,7 +261,7 @@
 
     def note_result(self, failed: bool) -> None:
         """Learn whether the endpoint itself failed a request."""
-        self._queue.note_result(failed)
+        self._queue.note_result(failed, monotonic())
 
     def on_refused(self, call: EndpointCall, refusal: Refusal) -> None:
         """Log a call that ends without a response."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -294,7 +294,8 @@
             self._admission.end(call.request_id, monotonic())
         if final.usage and final.status < 400:
             self._costs.learn(call.route.name, final.usage)
-            self._admission.learn(call.route.name, monotonic() - call.started_at)
+            residence_s = monotonic() - call.started_at
+            self._admission.learn(call.route.name, residence_s, final.usage)
         if call.parent is not None:
             call.parent.add_nested(final.usage, failed=not 0 < final.status < 400)
         self._request_log.on_final(call, final)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -379,4 +379,6 @@
 
 def usage_of(feedback: Feedback) -> dict[str, Usage]:
     """Return the usage by service that came with a result."""
-    return {service: Usage(calls, slot_s) for service, calls, slot_s in feedback.usage}
+    return {
+        service: Usage(calls, slot_s, wait_s) for service, calls, slot_s, wait_s in feedback.usage
+    }
