--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -88,8 +88,8 @@
     `level` are refused at present, and the fraction `level_fraction` of those at the level.
     `target_s` is the time at the target in seconds; it is sent with responses only. `usage` has the
     calls, slot seconds and seconds in queues of the call tree by service. `load` has the running
-    and waiting calls, the limit, the expected seconds at the endpoint and its failure rate. Both are
-    empty where the peer does not tell.
+    and waiting calls, the limit, the expected seconds at the endpoint and its failure rate. Both
+    are empty where the peer does not tell.
     """
 
     unspent: int = 0
