--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -1,9 +1,11 @@
 """Queue in front of one endpoint, ordered by what callers lose if a request waits longer.
 
-Answers the load of a call tree that fans out to one small service: requests of trees that already
-run go before new ones, because the work of their parents is spent. Within that, the more important
-request goes first, then the one whose latency objective ends first. A request that cannot finish
-before its deadline any more is refused at once and not held.
+Answers the load of call trees that fan out to one small service, which also has callers of its own.
+A nested call has the rank and the objective of the request at the root of its tree. The smaller rank
+goes first, so that calls of a less important tree do not delay a more important request. Of one
+rank, nested calls go first, because the work of their parents is spent, then the request whose
+latency objective ends first. A request that cannot finish before its deadline any more is refused at
+once and not held.
 """
 
 from __future__ import annotations
@@ -43,7 +45,7 @@
 
     request_id: str
     nested: bool
-    priority: int
+    rank: int
     deadline: float
     objective_at: float
 
@@ -78,7 +80,7 @@
         self.limit = usable_slots(slots)
         self._started_at_by_id: dict[str, float] = {}
         self._waiting_by_id: dict[str, QueuedRequest] = {}
-        self._heap: list[tuple[bool, int, float, int, QueuedRequest]] = []
+        self._heap: list[tuple[int, bool, float, int, QueuedRequest]] = []
         self._serial = 0
         self._expected_s = EXPECTED_S
         self._failure_rate = 0.0
@@ -133,7 +135,7 @@
             return [Reject(request.request_id, Reason.OVERLOADED)]
         self._serial += 1
         self._waiting_by_id[request.request_id] = request
-        key = (not request.nested, request.priority, request.objective_at, self._serial, request)
+        key = (request.rank, not request.nested, request.objective_at, self._serial, request)
         heappush(self._heap, key)
         return self._fill(now)
 
