--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -1,11 +1,11 @@
 """Queue in front of one endpoint, ordered by what callers lose if a request waits longer.
 
-Answers the load of call trees that fan out to one small service, which also has callers of its own.
-A nested call has the rank and the objective of the request at the root of its tree. The smaller rank
-goes first, so that calls of a less important tree do not delay a more important request. Of one
-rank, nested calls go first, because the work of their parents is spent, then the request whose
-latency objective ends first. A request that cannot finish before its deadline any more is refused at
-once and not held.
+Answers the load of call trees that fan out to one small service with callers of its own. A nested
+call has the rank and the objective of the request at the root of its tree. The smaller rank goes
+first, so that calls of a less important tree do not delay a more important request. Of one rank,
+nested calls go first, because the work of their parents is spent, then the request whose latency
+objective ends first. A request that cannot finish before its deadline any more is refused at once
+and not held.
 """
 
 from __future__ import annotations
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -49,9 +49,8 @@
             (action,) = self.queue.finish(running, 0.1)
             running = action.request_id
             order.append(running)
-        self.assertEqual(
-            order, ["root-important", "nested", "root-early", "root-late", "nested-unimportant"]
-        )
+        expected = ["root-important", "nested", "root-early", "root-late", "nested-unimportant"]
+        self.assertEqual(order, expected)
 
     def test_a_request_that_cannot_finish_is_refused_at_once(self) -> None:
         actions = self.queue.offer(request("late", deadline=0.001), 0.0)
