--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -16,7 +16,6 @@
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.tree_cost import Usage
-from pollenglade_core.dispatch.tree_cost import UsageByService
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
 from pollenglade_net.attempt import Attempt
@@ -26,6 +25,8 @@
 from pollenglade_net.link_message import Feedback
 
 from .endpoint_call import EndpointCall
+from .final_answer import SERVED
+from .final_answer import FinalAnswer
 
 MAX_PLACEMENTS = 4
 """Endpoints that are asked in turn while each gives the request back unsent."""
@@ -40,8 +41,6 @@
 
 RETRY_LATER_STATUS = frozenset({429, 503})
 
-SERVED = "served"
-
 
 class MeshCallOwner(Protocol):
     """The entry role as seen from one request."""
@@ -67,26 +66,6 @@
         """Take the end of a call for quota, learning and log."""
 
 
-class FinalAnswer:
-    """How a call ended, for the log and the counters."""
-
-    __slots__ = ("detail", "ran", "reason", "status", "usage")
-
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        ran: bool,
-        detail: str = "",
-        usage: UsageByService | None = None,
-    ) -> None:
-        self.status = status
-        self.reason = reason
-        self.ran = ran
-        self.detail = detail
-        self.usage = usage or {}
-
-
 class AttemptResult:
     """Sink of one attempt; a result of an attempt that was given up has no effect."""
 
@@ -184,6 +163,11 @@
         self._last_refusal = Refusal(Reason.NO_TARGET)
         self.context = self._new_context()
 
+    @property
+    def parent_id(self) -> str | None:
+        """Id of the request whose run made this one."""
+        return None if self.parent is None else self.parent.request_id.decode("latin-1")
+
     @property
     def endpoint_node(self) -> str:
         """Node of the latest attempt."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -4,18 +4,18 @@
 
 from collections import Counter
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 
-from .mesh_metrics import LatencyHistogram
-
-if TYPE_CHECKING:
-    from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.policy.traffic_policy import Organisation
+from pollenglade_core.policy.traffic_policy import Route
 
-    from .endpoint_call import EndpointCall
-    from .mesh_call import FinalAnswer
-    from .mesh_call import MeshCall
+from .final_answer import SERVED
+from .final_answer import FinalAnswer
+from .mesh_metrics import LatencyHistogram
 
 LINES_PER_REASON_AND_S = 5
 """Request lines of one reason and second; further ones are counted and reported together."""
@@ -26,6 +26,35 @@
 log = structlog.get_logger()
 
 
+class LoggedAttempt(Protocol):
+    """What the log tells of an attempt at the endpoint."""
+
+    request_id: bytes
+    context: CallContext
+
+
+class LoggedCall(Protocol):
+    """What the log tells of a request."""
+
+    request_id: str
+    route: Route
+    service: str
+    organisation: Organisation | None
+    objective_at: float
+    started_at: float
+    attempts: int
+    placements: int
+    policy_version: int
+
+    @property
+    def parent_id(self) -> str | None:
+        """Id of the request whose run made this one."""
+
+    @property
+    def endpoint_node(self) -> str:
+        """Node of the latest attempt."""
+
+
 class RequestLog:
     """Writes request lines and counts answers by reason."""
 
@@ -37,25 +66,25 @@
         self.answers: Counter[tuple[int, str]] = Counter()
         self.latency = LatencyHistogram()
 
-    def on_final(self, call: MeshCall, final: FinalAnswer) -> None:
+    def on_final(self, call: LoggedCall, final: FinalAnswer) -> None:
         """Take the end of a request that had a route."""
         self.answers[(final.status, final.reason)] += 1
         now = monotonic()
         late = now > call.objective_at
         self.latency.add(final.reason, now - call.started_at)
         reason = final.reason
-        if reason == "served" and call.attempts <= 1 and not late:
+        if reason == SERVED and call.attempts <= 1 and not late:
             self._served += 1
             if self._served % SERVED_SAMPLE:
                 return
-        elif reason == "served":
+        elif reason == SERVED:
             reason = "late" if late else "repeated"
         if not self._may_write(reason, now):
             return
         log.info(
             "request",
             request=call.request_id,
-            parent=call.parent.request_id.decode("latin-1") if call.parent is not None else None,
+            parent=call.parent_id,
             route=call.route.name,
             service=call.service,
             organisation=call.organisation.name if call.organisation is not None else None,
@@ -69,7 +98,7 @@
             ms=round((now - call.started_at) * 1000, 1),
         )
 
-    def on_attempt(self, call: EndpointCall, refusal: Refusal, load: tuple[float, ...]) -> None:
+    def on_attempt(self, call: LoggedAttempt, refusal: Refusal, load: tuple[float, ...]) -> None:
         """Take an attempt at the endpoint of this node that has no response."""
         if not self._may_write(f"attempt-{refusal.reason.value}", monotonic()):
             return
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Coroutine
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import Any
 from typing import Protocol
 
+from pollenglade_core.admission.admission import Action
+from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.call_handles import CallHandles
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
@@ -14,6 +19,7 @@
 from pollenglade_net.http_client import FRESH_IDLE_S
 from pollenglade_net.http_client import MAX_IDLE_S
 from pollenglade_net.http_client import ClientConnection
+from pollenglade_net.http_client import ConnectionPool
 from pollenglade_net.http_message import FailureReason
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
@@ -22,9 +28,7 @@
 from pollenglade_net.link import WINDOW_BYTES
 from pollenglade_net.link_message import Feedback
 
-if TYPE_CHECKING:
-    from .serving import Serving
-    from .target import Target
+from .target import Target
 
 WHOLE_RESPONSE_BYTES = 64 * 1024
 """A response up to this size is relayed in one message."""
@@ -39,12 +43,41 @@
         """Give the nested call up."""
 
 
+class CallOwner(Protocol):
+    """The serving role as seen from one call."""
+
+    handles: CallHandles
+    calls_by_handle: dict[str, ServingCall]
+    pool: ConnectionPool
+    ledger: CrashLedger
+
+    def apply(self, target: Target, actions: list[Action]) -> None:
+        """Carry out the actions of an admission."""
+
+    def feedback(
+        self, target: Target | None, context: CallContext, target_s: float = 0.0
+    ) -> Feedback:
+        """Return what the entry node is told with the final message of a call."""
+
+    def forget(self, call: ServingCall) -> None:
+        """Remove a call that has ended."""
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in the background."""
+
+    async def report_break(self, target: Target) -> None:
+        """Find out whether a target crashed."""
+
+    async def share(self, service: str, notices: list[CrashNotice]) -> None:
+        """Send crash notices to the other nodes of a service."""
+
+
 class ServingCall:
     """Relays one call to a target; sink of the HTTP response and attempt for the entry node."""
 
     def __init__(
         self,
-        serving: Serving,
+        serving: CallOwner,
         target: Target | None,
         context: CallContext,
         request: HttpRequest,
