--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -120,6 +120,10 @@
         """Return the slots of the usable endpoints of a service."""
         return sum(peer.load.limit for peer in self.of_service(service) if peer.is_usable(now))
 
+    def is_known(self, service: str) -> bool:
+        """Whether any node stands beside an endpoint of the service."""
+        return any(peer.service == service for peer in self.by_node.values())
+
     def slot_use(self, service: str, now: float, own_node: str) -> SlotUse:
         """Return the sum of what the other reachable nodes tell about a service."""
         occupied = offered = 0.0
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -4,7 +4,8 @@
 all callers above it, and its queue shows the surge only a tree's length after the requests were
 admitted. So each request that is under way counts with the slots that its tree occupies on average
 at every service, and a new one is refused before any work is done where the slots of a service on
-its tree are spoken for, or where calls at a service fail so often that the tree would not finish.
+its tree are spoken for, or where a service has no usable endpoint or fails so often that the tree
+would not finish.
 
 Nodes tell each other two averages for each service: the slots that their trees occupy and the slots
 that their clients ask for. A node refuses only what exceeds its part of the slots by that demand,
@@ -45,8 +46,6 @@
 RETRY_AFTER_MAX_S = 3.0
 """Bounds in seconds on the delay that a refused caller is asked for."""
 
-UNKNOWN_SLOTS = 0.0
-
 
 @dataclass(frozen=True, slots=True)
 class SlotUse:
@@ -91,7 +90,10 @@
     """What is known of the services at the moment."""
 
     def slots(self, service: str) -> float:
-        """Return the slots of all usable endpoints; 0 where nothing is known."""
+        """Return the slots of all usable endpoints."""
+
+    def is_known(self, service: str) -> bool:
+        """Whether the service has endpoints, usable or not."""
 
     def others(self, service: str) -> SlotUse:
         """Return the sum of what the other reachable nodes tell."""
@@ -191,7 +193,10 @@
             account = self._account(service)
             account.offer(usage[service].slot_s, now)
             slots = load.slots(service)
-            if slots <= UNKNOWN_SLOTS:
+            if slots <= 0.0:
+                if load.is_known(service):
+                    delay_s = self._delay_s(route, 1.0) * (0.5 + random)
+                    return TreeRefusal(service, 0.0, 0.0, 0.0, delay_s)
                 continue
             use, others = account.use(now), load.others(service)
             committed = use.occupied + others.occupied
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
@@ -67,6 +67,9 @@
     def slots(self, service: str) -> float:
         return sum(queue.limit for queue in self.queues) if service == "jury" else 1000.0
 
+    def is_known(self, service: str) -> bool:
+        return True
+
     def others(self, service: str) -> SlotUse:
         states = [state for node, state in enumerate(self.reported) if node != self.asking]
         uses = [state[service] for state in states if service in state]
@@ -197,6 +200,18 @@
         self.assertIsNone(item.check("view", 1, {"jury": Usage(1, 0.02)}, model, 0.5, 0.0))
 
 
+class CutOffTest(unittest.TestCase):
+    """A zone that reaches no endpoint of the service at the end."""
+
+    def test_a_tree_is_not_started_without_an_endpoint_for_each_of_its_services(self) -> None:
+        """Its first services would work for nothing, and a payment would fail half-way."""
+        model = Model(admission=True)
+        model.queues = []
+        refusal = model.admissions[0].check("browse", 0, USAGE, model, 0.5, 0.0)
+        assert refusal is not None
+        self.assertEqual(refusal.service, "jury")
+
+
 class LearningTest(unittest.TestCase):
     """What is learnt from requests of uneven length that had to wait."""
 
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -20,13 +20,15 @@
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
 
-from .http_message import MAX_BODY_BYTES
 from .http_message import Headers
 from .http_message import HttpRequest
 
 LOWEST_VERSION = 1
 HIGHEST_VERSION = 1
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Largest request body on a link, that of the largest request which an entry node holds."""
+
 MAX_MESSAGE_BYTES = MAX_BODY_BYTES + 64 * 1024
 READ_AHEAD_BYTES = 512 * 1024
 MAX_ITEMS = 1024
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -63,6 +63,10 @@
         """Return the slots of all usable endpoints."""
         return self._view.slots(service, self._now)
 
+    def is_known(self, service: str) -> bool:
+        """Whether the service has endpoints, usable or not."""
+        return self._view.is_known(service)
+
     def others(self, service: str) -> SlotUse:
         """Return the sum of what the other reachable nodes tell."""
         return self._view.slot_use(service, self._now, self._own_node)
@@ -248,6 +252,10 @@
     def _on_token(self, call: MeshCall, granted: bool) -> None:
         if call.is_done:
             return
+        if granted and not call.is_awaited:
+            call.has_token = True
+            call.refuse(Refusal(Reason.CANCELLED))
+            return
         if granted:
             call.has_token = True
             self._start(call)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -163,6 +163,11 @@
         self._last_refusal = Refusal(Reason.NO_TARGET)
         self.context = self._new_context()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the client is still connected."""
+        return self._exchange.is_open
+
     @property
     def parent_id(self) -> str | None:
         """Id of the request whose run made this one."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -18,6 +18,7 @@
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import ServerLimits
+from pollenglade_net.link_message import MAX_BODY_BYTES
 from pollenglade_net.link_message import Hello
 
 from ..membership.links import Links
@@ -41,9 +42,6 @@
 from .tree_memory import TREES_TOPIC
 from .tree_memory import TreeMemory
 
-MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
-"""Request bodies are held whole; a larger one does not fit beside others in a small process."""
-
 LINGER_S = 2.3
 """Time in seconds after SIGTERM in which clients learn that the node is not ready."""
 
@@ -150,7 +148,7 @@
         self._entry.policy = policy
         limits = policy.limits
         self._limits.head_bytes = limits.head_bytes
-        self._limits.body_bytes = min(limits.body_bytes, MAX_BUFFERED_BODY_BYTES)
+        self._limits.body_bytes = min(limits.body_bytes, MAX_BODY_BYTES)
         self._limits.head_timeout_s = limits.head_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self._tokens.apply(policy.organisations_by_name.values(), self.peers.nodes)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -47,6 +47,11 @@
     link_address: str
     incarnation: int
 
+    def is_at(self, other: MeshMember) -> bool:
+        """Whether another record puts the node at the same place, whatever its start."""
+        place = (self.zone, self.service, self.link_address)
+        return place == (other.zone, other.service, other.link_address)
+
 
 @dataclass(frozen=True, slots=True)
 class NodeState:
@@ -162,16 +167,16 @@
         return peer is not None and monotonic() < peer.heard_at + 3 * self._period_s()
 
     def add(self, members: Iterable[MeshMember], source: str) -> None:
-        """Learn about members; a later incarnation of a node replaces an earlier one."""
+        """Learn about members that are not known, or that have moved.
+
+        Incarnations are not compared: they come from the time of day, which may step back.
+        """
         changed = False
         for member in members:
             known = self.member_by_node.get(member.node)
-            if member.node == self._own.node:
+            if member.node == self._own.node or (known is not None and known.is_at(member)):
                 continue
-            if known is not None and known.incarnation >= member.incarnation:
-                continue
-            if known is None or known.link_address != member.link_address:
-                log.info("member_joined", member=member.node, source=source)
+            log.info("member_joined", member=member.node, source=source)
             self._set(member)
             changed = True
         if changed:
@@ -273,9 +278,8 @@
         if node == self._own.node:
             return
         self.add([state.member], node)
-        known = self.member_by_node.get(node)
         peer = self._view.by_node.get(node)
-        if known is None or peer is None or known.incarnation > state.member.incarnation:
+        if peer is None:
             return
         peer.ready = state.ready
         peer.endpoint_id = state.endpoint_id
