Send rejected requests again within the budget, start few trees into a failing service

A rejection is no run, so a request may be sent again to as many endpoints as its route allows. A part of the trees by priority starts although few would finish: the budget carries some, and they show the recovery. Found by the test: a response to a request sent again on the same connection was taken for a late extra.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -28,6 +28,10 @@
 MIN_SUCCESS = 0.2
 """Expected part of the trees that finish, below which a request with nested calls is refused."""
 
+PROBE_PART_BY_PRIORITY = (0.2, 0.12, 0.08)
+"""Part of the trees that start although few would finish, by priority. They show when the service
+is well again, and the retry budget carries some of them through."""
+
 RESIDENCE_WEIGHT = 0.05
 """Weight of one finished request in the mean time of an undisturbed tree."""
 
@@ -188,6 +192,8 @@
         `random` in [0, 1) spreads the returns, and rounds parts of less than one tree.
         """
         success = self._success(usage, load)
+        grade = min(max(priority, 0), len(USE_BY_PRIORITY) - 1)
+        would_finish = success >= MIN_SUCCESS or random < PROBE_PART_BY_PRIORITY[grade]
         worst: TreeRefusal | None = None
         for service, need in self.occupancy(route, usage).items():
             account = self._account(service)
@@ -200,13 +206,15 @@
                 continue
             use, others = account.use(now), load.others(service)
             committed = use.occupied + others.occupied
-            allowed = slots * USE_BY_PRIORITY[min(max(priority, 0), len(USE_BY_PRIORITY) - 1)]
+            allowed = slots * USE_BY_PRIORITY[grade]
             part = use.offered / max(use.offered + others.offered, use.offered, 1e-9)
             fits = committed + need <= allowed or account.occupied + need * random <= allowed * part
-            if fits and success >= MIN_SUCCESS:
+            if fits and would_finish:
                 continue
             if worst is None or committed * worst.slots > worst.committed * slots:
                 delay_s = self._delay_s(route, committed / allowed) * (0.5 + random)
+                if not would_finish:
+                    delay_s = RETRY_AFTER_MAX_S * (0.5 + random / 2)
                 worst = TreeRefusal(service, committed, slots, success, delay_s)
         return worst
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -216,7 +216,9 @@
     def _is_late_extra(self, headers: Headers) -> bool:
         if not self._tag_field or not self._earlier_tags:
             return False
-        return any(key == self._tag_field and value in self._earlier_tags for key, value in headers)
+        tag = next((value for key, value in headers if key == self._tag_field), self._tag)
+        # A rejected request may have been sent again on the same connection.
+        return tag != self._tag and tag in self._earlier_tags
 
     def _await_next(self) -> None:
         """Wait for the response that follows a discarded one."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -271,7 +271,11 @@
 
     def choose(self, call: MeshCall) -> Peer | None:
         """Return the endpoint for the next attempt of a call."""
-        return self._view.choose(call.service, monotonic(), call.excluded)
+        now = monotonic()
+        if call.allowed is None:
+            return self._view.choose(call.service, now, call.excluded)
+        others = self._view.by_node.keys() - call.allowed
+        return self._view.choose(call.service, now, others)
 
     def send(
         self, peer: Peer, context: CallContext, request: HttpRequest, sink: AttemptResult
@@ -285,10 +289,6 @@
         calls[call.service] = max(1.0, calls.get(call.service, 1.0))
         return self._budgets.take(calls, monotonic())
 
-    def on_shed(self, call: MeshCall) -> None:
-        """Count an arrival that an endpoint rejected."""
-        self._budgets.charge(call.service, monotonic())
-
     def retry_after_s(self) -> float:
         """Return a delay with jitter for a refusal without a measured queue."""
         return jittered(RETRY_AFTER_S, self._source)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -34,6 +34,10 @@
 RETRY_AFTER_S = 0.5
 """Delay in seconds that a refusal without a measured queue asks for, before jitter."""
 
+MAX_SHEDS = 6
+"""Rejections by endpoints after which a request is refused; where half of the requests are rejected,
+98 of 100 have been taken by then."""
+
 MIN_TRY_S = 0.02
 """Time in seconds that must be left for another attempt."""
 
@@ -56,9 +60,6 @@
     def may_repeat(self, call: MeshCall) -> bool:
         """Debit the retry budget for another attempt."""
 
-    def on_shed(self, call: MeshCall) -> None:
-        """Count an arrival that the endpoint rejected."""
-
     def retry_after_s(self) -> float:
         """Return a delay with jitter for a refusal."""
 
@@ -149,6 +150,9 @@
         self.nested = nested
         self.started_at = monotonic()
         self.excluded: set[str] = set()
+        self.allowed: set[str] | None = None
+        self.shed_by: set[str] = set()
+        self.sheds = 0
         self.current: AttemptResult | None = None
         self.attempts = 0
         self.placements = 0
@@ -293,12 +297,8 @@
     def _on_not_run(self, refusal: Refusal, peer: Peer) -> None:
         self.attempts -= 1
         if refusal.reason is Reason.TARGET_SHED:
-            peer.note_result(True, monotonic())
-            self.attempts += 1
-            self._owner.on_shed(self)
-            if self.attempts >= self.route.max_attempts or not self._owner.may_repeat(self):
-                self._finish_refused(refusal)
-                return
+            self._on_shed(refusal, peer)
+            return
         if refusal.reason in (Reason.NO_TARGET, Reason.DRAINING):
             # The node tells its new state to all peers; until it arrives, nothing more is sent.
             peer.ready = False
@@ -309,6 +309,24 @@
         self.excluded.add(peer.node)
         self._place()
 
+    def _on_shed(self, refusal: Refusal, peer: Peer) -> None:
+        """Send a rejected request again, to as many endpoints as the route allows.
+
+        A rejection is an arrival for the retry budget, but no run.
+        """
+        peer.note_result(True, monotonic())
+        self.sheds += 1
+        self.shed_by.add(peer.node)
+        late = self.deadline - monotonic() < MIN_TRY_S
+        if late or self.sheds >= MAX_SHEDS or not self._owner.may_repeat(self):
+            self._finish_refused(refusal)
+            return
+        if len(self.shed_by) >= self.route.max_attempts:
+            self.allowed = self.shed_by
+        else:
+            self.excluded.add(peer.node)
+        self._place()
+
     def _repeat(self) -> bool:
         assert self.current is not None
         if not self.route.repeatable or self.attempts >= self.route.max_attempts:
