--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -19,9 +19,9 @@
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
-from pollenglade_net.link import WINDOW_BYTES
 from pollenglade_net.link_message import Feedback
 
+from ..serving.relay_window import RelayWindow
 from .header_names import HeaderNames
 from .response_check import check_response
 
@@ -90,7 +90,7 @@
         self._parts: list[bytes] = []
         self._held_bytes = 0
         self._streaming = False
-        self._unacknowledged = 0
+        self._window = RelayWindow()
         self._nested_usage: UsageByService = {}
         self.nested_failed = False
 
@@ -160,17 +160,13 @@
             self._relay(part)
 
     def _relay(self, data: bytes) -> None:
-        self._unacknowledged += len(data)
-        if self._unacknowledged > WINDOW_BYTES and self._connection is not None:
-            self._connection.pause()
+        self._window.sent(len(data), self._connection)
         if self._sink is not None:
             self._sink.on_data(data)
 
     def credit(self, count: int) -> None:
         """Allow `count` further bytes of a streamed body."""
-        self._unacknowledged -= count
-        if self._unacknowledged <= WINDOW_BYTES and self._connection is not None:
-            self._connection.resume()
+        self._window.credit(count, self._connection)
 
     def on_end(self) -> None:
         """Take the end of a whole response."""
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -25,9 +25,9 @@
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
-from pollenglade_net.link import WINDOW_BYTES
 from pollenglade_net.link_message import Feedback
 
+from .relay_window import RelayWindow
 from .target import Target
 
 WHOLE_RESPONSE_BYTES = 64 * 1024
@@ -95,7 +95,7 @@
         self._headers: Headers = []
         self._parts: list[bytes] = []
         self._streaming = False
-        self._unacknowledged = 0
+        self._window = RelayWindow()
         self.children: set[Child] = set()
 
     @property
@@ -167,17 +167,13 @@
         if not self._streaming:
             self._parts.append(data)
             return
-        self._unacknowledged += len(data)
-        if self._unacknowledged > WINDOW_BYTES and self._connection is not None:
-            self._connection.pause()
+        self._window.sent(len(data), self._connection)
         if self._sink is not None:
             self._sink.on_data(data)
 
     def credit(self, count: int) -> None:
         """Allow `count` further bytes of a streamed body."""
-        self._unacknowledged -= count
-        if self._unacknowledged <= WINDOW_BYTES and self._connection is not None:
-            self._connection.resume()
+        self._window.credit(count, self._connection)
 
     def on_end(self) -> None:
         """Take the end of a whole response."""
