--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from time import monotonic
 from typing import cast
 
 import h11
@@ -186,7 +187,7 @@
 
     def _set_timer(self, delay_s: float | None, callback: Callable[[], None]) -> None:
         # The server looks at all connections together; a timer each costs more than a request.
-        self._expires_at = None if delay_s is None else self._server.now() + delay_s
+        self._expires_at = None if delay_s is None else monotonic() + delay_s
         self._on_expiry = callback
 
     def check_expiry(self, now: float) -> None:
@@ -372,7 +373,6 @@
         self.draining = False
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
-        self.now = asyncio.get_running_loop().time
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port; port 0 lets the operating system choose."""
@@ -384,7 +384,7 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def _check_expiry(self) -> None:
-        now = self.now()
+        now = monotonic()
         for connection in list(self.connections):
             connection.check_expiry(now)
         loop = asyncio.get_running_loop()
