--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -13,6 +13,7 @@
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_core.dispatch.peer_view import FAILED_S
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.tree_cost import Usage
@@ -158,6 +159,7 @@
         self.placements = 0
         self._attempt: Attempt | None = None
         self._may_have_run = False
+        self._held: tuple[int, Headers, bytes] | None = None
         self.is_done = False
         self.has_token = False
         self.policy_version = -1
@@ -239,6 +241,7 @@
         failed = status >= 500
         if failed and feedback.unspent > 0:
             self.current.peer.note_result(True, monotonic())
+            self._held = (status, headers, body)
             if self._repeat():
                 return
         elif not failed:
@@ -284,6 +287,8 @@
         assert self.current is not None
         peer = self.current.peer
         self._last_refusal = refusal
+        if refusal.reason is Reason.LINK_FAILED:
+            peer.avoid_until = monotonic() + FAILED_S
         if refusal.outcome is Outcome.NOT_RUN:
             self._on_not_run(refusal, peer)
             return
@@ -350,8 +355,14 @@
 
     def _answer(self, status: int, refusal: Refusal, ran: bool) -> None:
         self._end()
+        if self._held is not None:
+            # The failure that an endpoint answered tells the client more than one of the node.
+            status, headers, body = self._held
+            self._owner.on_final(self, FinalAnswer(status, "endpoint-failed", ran=True))
+            self._exchange.respond(status, headers, body)
+            return
         self._owner.on_final(self, FinalAnswer(status, refusal.reason.value, ran, refusal.detail))
-        headers: Headers = []
+        headers = []
         if status in RETRY_LATER_STATUS:
             delay_s = refusal.retry_after_s or self._owner.retry_after_s()
             headers.append((b"retry-after", b"%.3f" % delay_s))
