--- a/packages/pollenglade-cli/src/pollenglade_cli/request_story.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/request_story.py
@@ -12,7 +12,7 @@
 LEFT_OUT_EVENTS = frozenset({"request_lines_left_out", "log_lines_dropped"})
 
 CAUSE_BY_DECISION = {
-    "over-rate": "the organisation was beyond its rate at this moment; see the tokens in the line",
+    "over-rate": "the organisation had no token left at this node and no other node lent one",
     "overloaded": "a service of the call tree had no room, or its calls failed too often",
     "deadline": "the time that was left did not suffice any more",
     "timeout": "the deadline of the caller or the time limit of the route was reached",
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -261,7 +261,8 @@
             self._start(call)
             return
         delay_s = jittered(OVER_RATE_RETRY_S, self._source)
-        call.refuse(Refusal(Reason.OVER_RATE, Outcome.NOT_RUN, delay_s))
+        detail = self._tokens.describe(call.organisation.name) if call.organisation else ""
+        call.refuse(Refusal(Reason.OVER_RATE, Outcome.NOT_RUN, delay_s, detail))
 
     def _start(self, call: MeshCall) -> None:
         if not call.nested:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -195,6 +195,10 @@
             OWN_STATE_INTERVAL_S, self._keep_own_fresh
         )
 
+    def describe_limit(self, organisation: str) -> str:
+        """Return what decides on the requests of an organisation at this node."""
+        return self._tokens.describe(organisation)
+
     def answers(self) -> dict[tuple[int, str], int]:
         """Return the answers by status and reason."""
         return dict(self.request_log.answers)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -9,6 +9,8 @@
 from operator import itemgetter
 from time import monotonic
 
+import structlog
+
 from pollenglade_core.allowance.holders import holders
 from pollenglade_core.allowance.token_share import AllowanceBounds
 from pollenglade_core.allowance.token_share import TokenShare
@@ -32,6 +34,9 @@
 """Time in seconds for which a loan should last at the rate of recent requests."""
 
 
+log = structlog.get_logger()
+
+
 class _Account:
     """One organisation at this node."""
 
@@ -94,6 +99,7 @@
                 continue
             account.share.change(item.rate_per_s, item.burst, part, now)
             account.holders = names
+        log.info("allowances_divided", organisations=len(limited), nodes=len(known))
 
     def acquire(self, organisation: str, priority: int, done: Callable[[bool], None]) -> None:
         """Take one token for a request; `done` is called at once or after a loan."""
@@ -113,6 +119,15 @@
         if len(account.waiting) == 1:
             self._ask(organisation, account, now)
 
+    def describe(self, organisation: str) -> str:
+        """Return what decides on the organisation's requests at this node, for the log."""
+        account = self._account_by_name.get(organisation)
+        if account is None:
+            return "no limit"
+        tokens = account.share.tokens(monotonic())
+        held = f"{tokens:.2f} tokens at a share of {account.share.share:.3f}"
+        return f"{held}, {len(account.holders)} holders"
+
     def give_back(self, organisation: str) -> None:
         """Credit the token of a request that did not run."""
         account = self._account_by_name.get(organisation)
