--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -157,7 +157,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
-        self._server.connections.add(self)
+        self._server.add(self)
         self._set_timer(self._limits.idle_timeout_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -380,15 +380,25 @@
         self._server = await loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG
         )
-        self._check_expiry()
         return int(self._server.sockets[0].getsockname()[1])
 
+    def add(self, connection: ServerConnection) -> None:
+        """Own a connection, and look after its times from now on."""
+        self.connections.add(connection)
+        if self._sweep is None:
+            self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(EXPIRY_INTERVAL_S, self._check_expiry)
+
     def _check_expiry(self) -> None:
+        self._sweep = None
         now = monotonic()
         for connection in list(self.connections):
             connection.check_expiry(now)
-        loop = asyncio.get_running_loop()
-        self._sweep = loop.call_later(EXPIRY_INTERVAL_S, self._check_expiry)
+        if self.connections:
+            self._sweep_later()
 
     def drain(self) -> None:
         """Let each connection close after its next response."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/bounded_output.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/bounded_output.py
@@ -24,11 +24,13 @@
         self._held_bytes = 0
         self._rest = b""
         self._timer: asyncio.TimerHandle | None = None
+        self._is_started = False
         self.dropped = 0
 
     def start(self) -> None:
         """Write in the background from now on; the reader cannot delay the loop any more."""
         os.set_blocking(self._descriptor, False)
+        self._is_started = True
         self._flush_later()
 
     def write(self, text: str) -> int:
@@ -39,15 +41,22 @@
             return len(text)
         self._lines.append(line)
         self._held_bytes += len(line)
+        if self._is_started and self._timer is None:
+            self._flush_later()
         return len(text)
 
     def flush(self) -> None:
         """Do nothing; lines are written in the background."""
 
     def _flush_later(self) -> None:
-        self.write_out()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(FLUSH_INTERVAL_S, self._flush_later)
+        self._timer = loop.call_later(FLUSH_INTERVAL_S, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        self.write_out()
+        if self._rest or self._lines:
+            self._flush_later()
 
     def write_out(self) -> None:
         """Write as much as the reader takes now."""
@@ -78,6 +87,7 @@
 
     def close(self) -> None:
         """Write the last lines and stop."""
+        self._is_started = False
         if self._timer is not None:
             self._timer.cancel()
         self.write_out()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -16,6 +16,7 @@
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
+from pollenglade_net.http_server import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import MAX_BODY_BYTES
@@ -50,9 +51,6 @@
 
 DRAIN_POLL_S = 0.05
 
-OWN_STATE_INTERVAL_S = 0.2
-"""Time in seconds between refreshes of the load of the own endpoint."""
-
 log = structlog.get_logger()
 
 
@@ -109,8 +107,7 @@
         )
         self.trees = TreeMemory(self._entry, self._links)
         self._limits = ServerLimits(cancel_on_eof=True)
-        self._server = HttpServer(self._entry.handle, self._limits)
-        self._refresh: asyncio.TimerHandle | None = None
+        self._server = HttpServer(self._handle, self._limits)
         self._tasks: set[asyncio.Task[None]] = set()
         self._connect_parts()
 
@@ -183,17 +180,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _refresh_own(self) -> None:
-        state = self._state()
-        self._own_peer.ready = state.ready
-        self._own_peer.endpoint_id = state.endpoint_id
-        self._own_peer.report(state.load, monotonic())
-
-    def _keep_own_fresh(self) -> None:
+    def _handle(self, exchange: Exchange) -> None:
         self._refresh_own()
-        self._refresh = asyncio.get_running_loop().call_later(
-            OWN_STATE_INTERVAL_S, self._keep_own_fresh
-        )
+        self._entry.handle(exchange)
+
+    def _refresh_own(self) -> None:
+        running, waiting, limit, expected_s, failure_rate = self.serving.load()
+        load = EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate)
+        self._own_peer.ready = self.serving.is_available
+        self._own_peer.report(load, monotonic())
 
     def describe_limit(self, organisation: str) -> str:
         """Return what decides on the requests of an organisation at this node."""
@@ -229,7 +224,6 @@
         await self._server.start(settings.caller_address.host, settings.caller_address.port)
         await self._links.start(settings.link_address)
         self.peers.start()
-        self._keep_own_fresh()
         log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
 
     async def stop_gracefully(self) -> None:
@@ -249,8 +243,6 @@
 
     async def close(self) -> None:
         """Close all ports and connections."""
-        if self._refresh is not None:
-            self._refresh.cancel()
         self.peers.close()
         await self._server.close()
         await self.serving.close()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -25,7 +25,7 @@
 
 STATE_TOPIC = "state"
 
-PERIOD_S = 0.5
+PERIOD_S = 0.75
 """Time in seconds between two states sent to a peer in a small mesh."""
 
 PEERS_PER_S = 64.0
@@ -222,11 +222,11 @@
         return max(PERIOD_S, len(self.member_by_node) / PEERS_PER_S)
 
     def _tick(self) -> None:
-        period_s = self._period_s()
+        # States to all peers share one turn of the loop; a turn for each costs more in sum.
         for node in self.nodes:
-            delay_s = self._source.random() * period_s
-            self._loop.call_later(delay_s, self._send, node)
-        self._ticker = self._loop.call_later(period_s, self._tick)
+            self._send(node)
+        delay_s = self._period_s() * (0.8 + 0.4 * self._source.random())
+        self._ticker = self._loop.call_later(delay_s, self._tick)
 
     def _send(self, node: str, force: bool = False) -> None:
         if node == self._own.node or node not in self.member_by_node:
