Leave the next request alone when a finished one is cancelled

Cause: HttpClient.request, cancelled between the end of its response and the turn of its task, cancelled the connection, which the pool might already have given to another request. That request lost its sink and its timer and never ended. This fits what was seen when test_whole_answers hung: no call open at the nodes, every process idle, the caller waiting without a timeout. The whole messages written without h11, suspected before, are ruled out as the cause of this state: their requests keep the timer.

Change: ClientConnection.cancel names the sink whose response is given up and does nothing for another one.

--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -267,8 +267,13 @@
         if sink is not None:
             sink.on_failure(HttpFailure(reason, True, detail))
 
-    def cancel(self) -> None:
-        """Give up on the response; the connection is closed, never reused."""
+    def cancel(self, sink: ResponseSink) -> None:
+        """Give up on the response that `sink` waits for and close the connection.
+
+        Has no effect once that response has ended: the connection may serve another request.
+        """
+        if self._sink is not sink:
+            return
         self._sink = None
         self._stop_timer()
         self._reset()
@@ -450,7 +455,7 @@
         try:
             return await collector.result
         except asyncio.CancelledError:
-            connection.cancel()
+            connection.cancel(collector)
             raise
 
     async def close(self) -> None:
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -10,6 +10,8 @@
 from hypothesis import strategies as st
 
 from pollenglade_net.http_client import Address
+from pollenglade_net.http_client import ClientConnection
+from pollenglade_net.http_client import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import MAX_BODY_BYTES
 from pollenglade_net.http_message import FailureReason
@@ -93,6 +95,29 @@
         async with asyncio.timeout(READ_LIMIT_S):
             await cancelled.wait()
 
+    async def test_cancelled_request_leaves_the_next_one_on_its_connection_alone(self) -> None:
+        """A request cancelled just as its response ends must not take the next one's response."""
+        address = await start_echo(self)
+        requests: list[asyncio.Task[HttpResponse | HttpFailure]] = []
+
+        class Pool(ConnectionPool):
+            """Starts the next request and cancels the first as its connection comes back."""
+
+            def give_back(self, connection: ClientConnection) -> None:
+                super().give_back(connection)
+                if len(requests) == 1:
+                    requests.append(asyncio.create_task(client.request(address, "GET", "/next")))
+                    requests[0].cancel()
+
+        client = HttpClient(Pool())
+        self.addAsyncCleanup(client.close)
+        requests.append(asyncio.create_task(client.request(address, "GET", "/first")))
+        await asyncio.wait(requests)
+        async with asyncio.timeout(READ_LIMIT_S):
+            response = await requests[1]
+        assert isinstance(response, HttpResponse), response
+        self.assertEqual(b"/next|", response.body)
+
     async def test_truncated_response_is_a_failure(self) -> None:
         """A body that ends before its length must never be taken for a whole response."""
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -232,7 +232,7 @@
             return
         self._sink = None
         if self._connection is not None:
-            self._connection.cancel()
+            self._connection.cancel(self)
         self._end(completed=False)
 
     def _end(self, completed: bool) -> Feedback:
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -232,7 +232,7 @@
             return
         self._sink = None
         if self._connection is not None:
-            self._connection.cancel()
+            self._connection.cancel(self)
         target = self.target
         if target is None:
             return
