--- a/tests/test_system/test_importance.py
+++ b/tests/test_system/test_importance.py
@@ -67,8 +67,11 @@
         assert isinstance(response, HttpResponse), response
         if response.status == 200:
             counts["ran"] += 1
-        elif (response.header(b"pollenglade-reason") or b"").decode() in REASONS_FOR_LOAD:
+        elif (
+            reason := (response.header(b"pollenglade-reason") or b"").decode()
+        ) in REASONS_FOR_LOAD:
             counts["shed"] += 1
+            counts[reason] += 1
         else:
             counts["other"] += 1
 
