Send some requests to the endpoint that was left alone longest

Cause: an endpoint is chosen by its known speed, which is learnt from its requests only. One that joins with a worse estimate than the others, or was slow once, gets nothing while the others have room.

Change: one of 32 requests of a service at a node goes to the endpoint chosen longest ago, if it has room and does not fail. The new test fails before (no request in 64).

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -1,11 +1,19 @@
-"""What a node knows about the endpoints of other nodes, and which one gets the next request."""
+"""What a node knows about the endpoints of other nodes, and which one gets the next request.
+
+Answers load on endpoints of unequal and changing speed: requests go where they would be done first,
+and some go to the endpoint that was left alone longest. Its speed is known from its requests only,
+so that one which was slow once, or has just joined, would otherwise get nothing while others have
+room.
+"""
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from operator import attrgetter
 
 from .tree_admission import SlotUse
 
@@ -30,6 +38,12 @@
 FAILURE_DECAY_S = 3.0
 """Time constant in seconds with which a failure rate fades without new results."""
 
+EXPLORE_EVERY = 32
+"""Requests of which one goes to the endpoint that was left alone longest."""
+
+EXPLORE_MAX_FAILURES = 0.1
+"""Failure rate from which an endpoint gets no request for the sake of knowing its speed."""
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointLoad:
@@ -61,6 +75,7 @@
         self.heard_at = float("-inf")
         self.asked_at = float("-inf")
         self.avoid_until = float("-inf")
+        self.chosen_at = float("-inf")
         self._failure_rate = 0.0
         self._failure_at = 0.0
 
@@ -98,6 +113,7 @@
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self.by_node: dict[str, Peer] = {}
+        self._choices_by_service: Counter[str] = Counter()
 
     def of_service(self, service: str) -> list[Peer]:
         """Return the endpoints of a service."""
@@ -112,10 +128,25 @@
         ]
         if not usable:
             return None
-        chosen = min(usable, key=lambda peer: self._score_s(peer, now))
+        self._choices_by_service[service] += 1
+        explored = None
+        if self._choices_by_service[service] % EXPLORE_EVERY == 0:
+            explored = self._left_alone(usable, now)
+        chosen = explored or min(usable, key=lambda peer: self._score_s(peer, now))
         chosen.sent += 1
+        chosen.chosen_at = now
         return chosen
 
+    def _left_alone(self, usable: Iterable[Peer], now: float) -> Peer | None:
+        """Return the endpoint chosen longest ago, of those that have room and do not fail."""
+        candidates = [
+            peer
+            for peer in usable
+            if peer.wait_s() == 0.0
+            and max(peer.failure_rate(now), peer.load.failure_rate) < EXPLORE_MAX_FAILURES
+        ]
+        return min(candidates, key=attrgetter("chosen_at"), default=None)
+
     def slots(self, service: str, now: float) -> float:
         """Return the slots of the usable endpoints of a service."""
         return sum(peer.load.limit for peer in self.of_service(service) if peer.is_usable(now))
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from pollenglade_core.dispatch.peer_view import EXPLORE_EVERY
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
@@ -64,6 +65,25 @@
             peer.report(EndpointLoad(0, 0, 10, 0.02), 3.2)
         self.assertEqual(self.chosen(view, now=3.2), "node-a")
 
+    def test_an_endpoint_that_joined_or_was_slow_is_tried_while_others_have_room(self) -> None:
+        """Without requests its speed stays unknown, and it would never get any."""
+        view = view_of("a", "b")
+        view.by_node["node-b"].report(EndpointLoad(0, 0, 10, 0.5), 0.0)
+        picks = []
+        for number in range(2 * EXPLORE_EVERY):
+            picks.append(self.chosen(view, now=number * 0.01))
+            view.by_node["node-a"].sent = 0
+        self.assertEqual(picks.count("node-b"), 2)
+
+    def test_a_failing_endpoint_is_not_tried_for_its_speed(self) -> None:
+        view = view_of("a", "b")
+        view.by_node["node-b"].report(EndpointLoad(0, 0, 10, 0.5, failure_rate=0.5), 0.0)
+        picks = set()
+        for _ in range(4 * EXPLORE_EVERY):
+            picks.add(self.chosen(view))
+            view.by_node["node-a"].sent = 0
+        self.assertEqual(picks, {"node-a"})
+
 
 class RetryBudgetTest(unittest.TestCase):
     """Repeats of sixteen nodes together."""
