--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -13,7 +13,6 @@
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.dispatch.learnt_trees import LearntTree
-from pollenglade_core.dispatch.patience import patience_s
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
@@ -283,11 +282,6 @@
         """Send an attempt to the node of an endpoint."""
         return self._links.send(peer.node, context, request, sink)
 
-    def patience_s(self, call: MeshCall, peer: Peer) -> float | None:
-        """Return how long to wait for an attempt; None to wait until the deadline."""
-        calls = sum(item.calls for item in self._costs.of(call.route.name).values())
-        return patience_s(peer.load, peer.wait_s(), calls, call.deadline - monotonic())
-
     def may_repeat(self, call: MeshCall) -> bool:
         """Debit the retry budget of every service that a repeat would reach."""
         calls = {name: item.calls for name, item in self._costs.of(call.route.name).items()}
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -58,9 +58,6 @@
     ) -> Attempt | None:
         """Send an attempt; None where the node is not known."""
 
-    def patience_s(self, call: MeshCall, peer: Peer) -> float | None:
-        """Return how long to wait for an attempt; None to wait until the deadline."""
-
     def may_repeat(self, call: MeshCall) -> bool:
         """Debit the retry budget for another attempt."""
 
@@ -169,7 +166,6 @@
         self._streaming = False
         self._owed_credit = 0
         self._timer: asyncio.TimerHandle | None = None
-        self._patience_timer: asyncio.TimerHandle | None = None
         self._last_refusal = Refusal(Reason.NO_TARGET)
         self.context = self._new_context()
 
@@ -202,39 +198,13 @@
             return
         self.placements += 1
         self.attempts += 1
-        if self._patience_timer is not None:
-            self._patience_timer.cancel()
-            self._patience_timer = None
         result = AttemptResult(self, peer)
         self.current = result
         attempt = self._owner.send(peer, self._attempt_context(), self._request, result)
         if attempt is None:
             self.on_refusal(Refusal(Reason.LINK_FAILED), Feedback())
-        elif self.current is result and not self.is_done:
+        elif self.current is result:
             self._attempt = attempt
-            self._wait_for(result)
-
-    def _wait_for(self, result: AttemptResult) -> None:
-        if not self._may_be_repeated():
-            return
-        patience_s = self._owner.patience_s(self, result.peer)
-        if patience_s is not None:
-            loop = asyncio.get_running_loop()
-            self._patience_timer = loop.call_later(patience_s, self._on_no_answer, result)
-
-    def _on_no_answer(self, result: AttemptResult) -> None:
-        """Give up an attempt whose answer seems to be lost, if the request can be repeated."""
-        self._patience_timer = None
-        if self.current is not result or self.is_done or self._streaming:
-            return
-        if result.peer.load.waiting > 0:
-            # The request may still be in the queue of the endpoint.
-            self._wait_for(result)
-            return
-        attempt = self._attempt
-        if self._repeat() and attempt is not None:
-            result.peer.note_result(True, monotonic())
-            attempt.cancel()
 
     def _new_context(self) -> CallContext:
         level = Importance.CRITICAL - self.route.priority
@@ -364,7 +334,7 @@
 
     def _repeat(self) -> bool:
         assert self.current is not None
-        if not self._may_be_repeated():
+        if not self.route.repeatable or self.attempts >= self.route.max_attempts:
             return False
         if self.deadline - monotonic() < MIN_TRY_S or not self._owner.may_repeat(self):
             return False
@@ -373,9 +343,6 @@
         self._place()
         return True
 
-    def _may_be_repeated(self) -> bool:
-        return self.route.repeatable and self.attempts < self.route.max_attempts
-
     def _finish_refused(self, refusal: Refusal) -> None:
         if self._may_have_run:
             self._answer(502, refusal, ran=True)
@@ -423,10 +390,9 @@
 
     def _end(self) -> None:
         self.is_done = True
-        for timer in (self._timer, self._patience_timer):
-            if timer is not None:
-                timer.cancel()
-        self._timer = self._patience_timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
 
 def usage_of(feedback: Feedback) -> dict[str, Usage]:
