--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -128,17 +128,17 @@
         ]
         if not usable:
             return None
-        self._choices_by_service[service] += 1
-        explored = None
-        if self._choices_by_service[service] % EXPLORE_EVERY == 0:
-            explored = self._left_alone(usable, now)
-        chosen = explored or min(usable, key=lambda peer: self._score_s(peer, now))
+        soonest = min(usable, key=lambda peer: self._score_s(peer, now))
+        chosen = self._to_explore(service, usable, now) or soonest
         chosen.sent += 1
         chosen.chosen_at = now
         return chosen
 
-    def _left_alone(self, usable: Iterable[Peer], now: float) -> Peer | None:
-        """Return the endpoint chosen longest ago, of those that have room and do not fail."""
+    def _to_explore(self, service: str, usable: Iterable[Peer], now: float) -> Peer | None:
+        """Return the endpoint left alone longest that has room and does not fail, if it is time."""
+        self._choices_by_service[service] += 1
+        if self._choices_by_service[service] % EXPLORE_EVERY:
+            return None
         candidates = [
             peer
             for peer in usable
