Handle a request without a body in one turn of the parser

Change: a GET or HEAD without framing fields is handed on with its head, and the link checks the types of its fields by identity first.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -28,6 +28,10 @@
 """Bytes of pipelined requests that are buffered before reading pauses."""
 
 BODYLESS_STATUS = frozenset({204, 304})
+BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
+FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding", b"connection", b"expect"})
+"""Fields that say that a body follows or how the connection goes on."""
+
 LISTEN_BACKLOG = 1024
 
 EXPIRY_INTERVAL_S = 0.5
@@ -145,6 +149,7 @@
         self._fields: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._is_whole = False
         self._exchange: Exchange | None = None
         self._eof = False
         self.congested = False
@@ -259,6 +264,14 @@
         self._request = event
         self._body = []
         self._body_bytes = 0
+        self._is_whole = (
+            event.method in BODYLESS_METHODS
+            and event.http_version == b"1.1"
+            and FRAMING_FIELDS.isdisjoint(names)
+        )
+        if self._is_whole:
+            # Saves a turn of the parser, which knows only after its next event.
+            self._dispatch()
         return True
 
     def _dispatch(self) -> None:
@@ -274,6 +287,8 @@
 
     def head(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response."""
+        if self._is_whole:
+            self._h11.next_event()
         if self._server.draining:
             headers = [*headers, (b"connection", b"close")]
         return self.encode(h11.Response(status_code=status, headers=valid_headers(headers)))
@@ -293,8 +308,8 @@
         The framing is a length, so h11 only parses here; its states for sending cost as much as
         the parsing of the request.
         """
-        whole = self._h11.their_state is h11.DONE
-        closing = self._server.draining or not whole
+        is_reusable = self._is_whole or self._h11.their_state is h11.DONE
+        closing = self._server.draining or not is_reusable
         if closing:
             fields.append((b"connection", b"close"))
         self.write(encode_fields(status_line(status), fields) + body)
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -102,13 +102,18 @@
     load: tuple[float, ...] = ()
 
 
+def _is_accepted(value: object, kind: type) -> bool:
+    accepted = (int, float) if kind is float else kind
+    return isinstance(value, accepted) and not isinstance(value, bool)
+
+
 def _fields(message: Sequence[Any], count: int, *types: type) -> list[Any]:
     if len(message) < count + 1:
         raise LinkError(f"message of kind {message[0]!r} has {len(message) - 1} of {count} fields")
     fields = list(message[1 : count + 1])
     for position, (value, kind) in enumerate(zip(fields, types, strict=False), start=1):
-        accepted = (int, float) if kind is float else kind
-        if not isinstance(value, accepted) or (isinstance(value, bool) and kind is not bool):
+        # Nearly all fields have exactly the type; the other forms that are accepted are rare.
+        if type(value) is not kind and not _is_accepted(value, kind):
             raise LinkError(
                 f"message of kind {message[0]!r}: field {position} is "
                 f"{type(value).__name__}, not {kind.__name__}"
@@ -207,12 +212,14 @@
 
 def unpack_headers(value: object) -> Headers:
     """Decode header fields; raise LinkError where one is not a pair of byte strings."""
+    if not isinstance(value, list):
+        raise LinkError("the header fields are not an array")
     headers: Headers = []
-    for item in value if isinstance(value, list) else [None]:
-        if not isinstance(item, list) or len(item) != 2:
+    for item in value:
+        if type(item) is not list or len(item) != 2:
             raise LinkError("a header field is not a pair")
         name, content = item
-        if not isinstance(name, bytes) or not isinstance(content, bytes):
+        if type(name) is not bytes or type(content) is not bytes:
             raise LinkError("a header field is not a pair of byte strings")
         headers.append((name, content))
     return headers
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import unittest
 
 from hypothesis import given
@@ -19,6 +20,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import end_to_end_headers
+from pollenglade_net.http_server import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import async_handler
 
@@ -74,6 +76,38 @@
         self.assertEqual(sorted(positions), positions)
         self.assertNotIn(-1, positions)
 
+    async def test_connections_without_bodies_go_on_or_end_as_the_caller_asks(self) -> None:
+        """A request whose end is not awaited must not change what becomes of its connection."""
+        address = await start_echo(self)
+        last = b"GET /last HTTP/1.1\r\nhost: a\r\n\r\n"
+        cases = {
+            b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n": True,
+            b"HEAD /a HTTP/1.1\r\nhost: a\r\n\r\n": True,
+            b"GET /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab": True,
+            b"GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n": False,
+            b"GET /a HTTP/1.0\r\nhost: a\r\n\r\n": False,
+        }
+        for first, goes_on in cases.items():
+            with self.subTest(first):
+                received = await send_raw(address, first + last)
+                self.assertIn(b"x-target: /a", received)
+                self.assertEqual(goes_on, b"x-target: /last" in received)
+
+    async def test_connection_goes_on_after_a_streamed_response(self) -> None:
+        """A response in parts must not leave the request before it half read."""
+
+        def stream(exchange: Exchange) -> None:
+            exchange.start(200, [(b"transfer-encoding", b"chunked")])
+            exchange.write(exchange.request.target)
+            exchange.end()
+
+        server = HttpServer(stream)
+        port = await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        parts = [b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % number for number in range(3)]
+        received = await send_raw(Address("127.0.0.1", port), b"".join(parts))
+        self.assertEqual([b"/0", b"/1", b"/2"], re.findall(rb"\r\n(/\d)\r\n", received))
+
     async def test_timeout_cancels_the_work_of_the_server(self) -> None:
         """Work for a call that was given up occupies a slot and is wasted."""
         cancelled = asyncio.Event()
