Stop reading a connection that a response has closed

Cause: a draining node answers and closes at once; since the end of the request is still in the parser then, and was taken for a request. Change: the loop over events ends once the connection is closing. Test: a draining server with an immediate response; it failed before.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -159,6 +159,10 @@
         """Whether no request is being received or answered."""
         return self._exchange is None and self._request is None
 
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
@@ -215,7 +219,7 @@
         return self._exchange is not None
 
     def _advance(self) -> None:
-        while self._exchange is None and self._transport is not None:
+        while self._exchange is None and self._is_open:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -108,6 +108,26 @@
         received = await send_raw(Address("127.0.0.1", port), b"".join(parts))
         self.assertEqual([b"/0", b"/1", b"/2"], re.findall(rb"\r\n(/\d)\r\n", received))
 
+    async def test_a_draining_server_ends_a_connection_after_an_immediate_response(self) -> None:
+        """The rest of the request must not be taken for another one once the response is out."""
+        problems: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: problems.append(context["exception"]))
+        targets: list[bytes] = []
+
+        def refuse(exchange: Exchange) -> None:
+            targets.append(exchange.request.target)
+            exchange.respond(503, [], b"")
+
+        server = HttpServer(refuse)
+        port = await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        server.drain()
+        parts = [b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % number for number in range(2)]
+        received = await send_raw(Address("127.0.0.1", port), b"".join(parts))
+        self.assertIn(b"connection: close", received)
+        self.assertEqual(([b"/0"], []), (targets, problems))
+
     async def test_timeout_cancels_the_work_of_the_server(self) -> None:
         """Work for a call that was given up occupies a slot and is wasted."""
         cancelled = asyncio.Event()
