Refuse new requests once a stopping node waits for the last ones only

A busy node took new requests until the end of its grace period. Ruled out: the fatal errors that brought to draining connections as the cause; the request of 25.9 s was read, routed and passed on. Change: from 2.3 s after SIGTERM on, when clients know that the node is not ready, requests of clients get 503 (not run, Retry-After, Connection: close). Calls of requests that still run are taken.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -104,6 +104,7 @@
         self._admission = TreeAdmission()
         self._dropped = names.set_by_node | FRAMING_FIELDS
         self._open_calls = 0
+        self.is_closing = False
         self.policy: TrafficPolicy | None = None
 
     @property
@@ -217,6 +218,10 @@
         return digest.hexdigest()
 
     def _admit(self, call: MeshCall, now: float) -> None:
+        if self.is_closing and not call.nested:
+            # It could be cut off at the end; requests that run may still make calls.
+            call.refuse(Refusal(Reason.DRAINING, Outcome.NOT_RUN, None, "the node stops"))
+            return
         refusal = self._ledger.check(call.context, now, self._source) or self._load_refusal(
             call, now
         )
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -44,7 +44,8 @@
 from .tree_memory import TreeMemory
 
 LINGER_S = 2.3
-"""Time in seconds after SIGTERM in which clients learn that the node is not ready."""
+"""Time in seconds after SIGTERM in which clients learn that the node is not ready; requests on
+connections that are kept open are served until then."""
 
 STOP_MARGIN_S = 0.8
 """Time in seconds before the end of the grace period at which what is left is given up."""
@@ -235,8 +236,9 @@
         self._on_endpoint()
         limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
         while monotonic() - started_at < limit_s:
+            self._entry.is_closing = monotonic() - started_at > LINGER_S
             busy = self._entry.is_busy or self.serving.is_busy
-            if not busy and monotonic() - started_at > LINGER_S:
+            if self._entry.is_closing and not busy:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
