--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,6 +11,5 @@
     packages/pollenglade-node/src platform/src; do
     cp -R "$source"/. target/deps/
 done
-# The processes cannot write there; without this each start compiles every module anew. They run
-# with -OO, as documentation strings of the libraries take several megabytes.
-python3 -m compileall -q -o 2 --invalidation-mode unchecked-hash target/deps
+# The processes cannot write there; without this each start compiles every module anew.
+python3 -m compileall -q --invalidation-mode unchecked-hash target/deps/pollenglade_*
