Divide the slots in a surge by priority and by the demand of all nodes

Cause: each node admitted what fits its own part of the slots, whatever the priority. Change: nodes tell each other occupied and demanded slots by priority, and all admit the same part of each priority, corrected by what is occupied. A request takes its organisation's token first: what is asked beyond a rate is no demand for slots.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from operator import attrgetter
 
-from .tree_admission import SlotUse
+from .slot_use import SlotUse
 
 SILENT_S = 3.0
 """Age in seconds of the latest sign of life from which a node is not chosen any more."""
@@ -157,13 +157,16 @@
 
     def slot_use(self, service: str, now: float, own_node: str) -> SlotUse:
         """Return the sum of what the other reachable nodes tell about a service."""
-        occupied = offered = 0.0
-        for peer in self.by_node.values():
-            use = peer.use_by_service.get(service)
-            if use is not None and peer.node != own_node and now - peer.heard_at < SILENT_S:
-                occupied += use.occupied
-                offered += use.offered
-        return SlotUse(occupied, offered)
+        return sum(
+            [
+                peer.use_by_service[service]
+                for peer in self.by_node.values()
+                if service in peer.use_by_service
+                and peer.node != own_node
+                and now - peer.heard_at < SILENT_S
+            ],
+            SlotUse(),
+        )
 
     def failure_rate(self, service: str, now: float) -> float:
         """Return the failure rate of a service, its endpoints weighted by their slots."""
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -7,9 +7,10 @@
 its tree are spoken for, or where a service has no usable endpoint or fails so often that the tree
 would not finish.
 
-Nodes tell each other two averages for each service: the slots that their trees occupy and the slots
-that their clients ask for. A node refuses only what exceeds its part of the slots by that demand,
-because the figures of the others are old: by them alone all nodes would refuse and admit in turn.
+Nodes tell each other two averages for each service and priority: the slots that their trees occupy
+and the slots that their clients ask for. Beyond the slots, each node admits the part of a priority
+that the demand of all nodes leaves to it. Occupied slots alone would not do: the figures of the
+others are old, so that all nodes would refuse and admit in turn.
 """
 
 from __future__ import annotations
@@ -19,11 +20,27 @@
 from math import exp
 from typing import Protocol
 
+from .slot_use import PRIORITIES
+from .slot_use import SlotUse
+from .slot_use import admitted_parts
+from .slot_use import priority_grade
 from .tree_cost import UsageByService
 
 USE_BY_PRIORITY = (1.3, 1.15, 1.0)
-"""Part of a service's slots that may be spoken for, by priority; the least important requests give
-way first, and the last parts above 1 wait in the queue for a moment."""
+"""Part of a service's slots that should be spoken for, by priority; the least important requests
+give way first, and the last parts above 1 wait in the queue for a moment."""
+
+CORRECTION = 0.6
+"""Part of the difference from it by which the slots that are given away are changed; it makes up
+for a demand that is known too late or not exactly."""
+
+MIN_ROOM = 0.4
+MAX_ROOM = 1.2
+"""Bounds on the slots that are given away, as parts of those that there are."""
+
+MAX_USE_BY_PRIORITY = (3.0, 3.0, 1.8)
+"""Part of a service's slots that requests of a priority and more important ones may occupy at most;
+beyond it the figures of the demand are wrong."""
 
 MIN_SUCCESS = 0.2
 """Expected part of the trees that finish, below which a request with nested calls is refused."""
@@ -51,16 +68,8 @@
 """Bounds in seconds on the delay that a refused caller is asked for."""
 
 
-@dataclass(frozen=True, slots=True)
-class SlotUse:
-    """Slots of a service that trees occupy, and that clients ask for, on average."""
-
-    occupied: float = 0.0
-    offered: float = 0.0
-
-
 class _Account:
-    """Trees of this node at one service."""
+    """Trees of this node with one priority at one service."""
 
     def __init__(self) -> None:
         self.occupied = 0.0
@@ -74,19 +83,19 @@
         self.occupied = max(0.0, self.occupied + slots)
 
     def offer(self, slot_s: float, now: float) -> None:
-        self._offered = self._offered_now(now) + slot_s / OFFERED_AVERAGE_S
+        self._offered = self.offered(now) + slot_s / OFFERED_AVERAGE_S
         self._offered_at = now
 
-    def use(self, now: float) -> SlotUse:
+    def average(self, now: float) -> float:
         self._follow(now)
-        return SlotUse(self._average, self._offered_now(now))
+        return self._average
 
     def _follow(self, now: float) -> None:
         kept = exp((self._occupied_at - now) / OCCUPIED_AVERAGE_S)
         self._average = self.occupied + (self._average - self.occupied) * kept
         self._occupied_at = now
 
-    def _offered_now(self, now: float) -> float:
+    def offered(self, now: float) -> float:
         return self._offered * exp((self._offered_at - now) / OFFERED_AVERAGE_S)
 
 
@@ -113,27 +122,41 @@
     service: str
     committed: float
     slots: float
+    part: float
     success: float
     retry_after_s: float
 
     def __str__(self) -> str:
         return (
             f"{self.service}: {self.committed:.1f} of {self.slots:.0f} slots spoken for, "
+            f"{self.part:.0%} of the priority admitted, "
             f"{self.success:.0%} of the trees would finish"
         )
 
 
+def _room(grade: int, occupied: float, slots: float) -> float:
+    """Return the slots that are given away while so many are occupied."""
+    correction = CORRECTION * (USE_BY_PRIORITY[grade] - occupied / slots)
+    return slots * min(MAX_ROOM, max(MIN_ROOM, 1.0 + correction))
+
+
 class TreeAdmission:
     """Counts the trees of this node's requests and decides on new ones."""
 
     def __init__(self) -> None:
         self._residence_by_route: dict[str, float] = {}
-        self._account_by_service: dict[str, _Account] = {}
-        self._occupied_by_request: dict[str, Mapping[str, float]] = {}
+        self._accounts_by_service: dict[str, tuple[_Account, ...]] = {}
+        self._tree_by_request: dict[str, tuple[int, Mapping[str, float]]] = {}
 
     def use_by_service(self, now: float) -> dict[str, SlotUse]:
         """Return what this node tells the others."""
-        return {service: item.use(now) for service, item in self._account_by_service.items()}
+        return {
+            service: SlotUse(
+                tuple([account.average(now) for account in accounts]),
+                tuple([account.offered(now) for account in accounts]),
+            )
+            for service, accounts in self._accounts_by_service.items()
+        }
 
     def occupancy(self, route: str, usage: UsageByService) -> dict[str, float]:
         """Return the slots that one undisturbed request of a route occupies on average."""
@@ -142,23 +165,28 @@
             return {}
         return {service: item.slot_s / residence_s for service, item in usage.items()}
 
-    def begin(self, request: str, route: str, usage: UsageByService, now: float) -> None:
+    def begin(
+        self, request: str, route: str, priority: int, usage: UsageByService, now: float
+    ) -> None:
         """Count a request that was admitted."""
         occupied = self.occupancy(route, usage)
-        self._occupied_by_request[request] = occupied
+        grade = priority_grade(priority)
+        self._tree_by_request[request] = grade, occupied
         for service, slots in occupied.items():
-            self._account(service).add(slots, now)
+            self._accounts(service)[grade].add(slots, now)
 
     def end(self, request: str, now: float) -> None:
         """Stop counting a request; an unknown one has no effect."""
-        for service, slots in self._occupied_by_request.pop(request, {}).items():
-            self._account(service).add(-slots, now)
+        grade, occupied = self._tree_by_request.pop(request, (0, {}))
+        for service, slots in occupied.items():
+            self._accounts(service)[grade].add(-slots, now)
 
-    def _account(self, service: str) -> _Account:
-        account = self._account_by_service.get(service)
-        if account is None:
-            account = self._account_by_service[service] = _Account()
-        return account
+    def _accounts(self, service: str) -> tuple[_Account, ...]:
+        accounts = self._accounts_by_service.get(service)
+        if accounts is None:
+            accounts = tuple(_Account() for _ in range(PRIORITIES))
+            self._accounts_by_service[service] = accounts
+        return accounts
 
     def learn(self, route: str, residence_s: float, usage: UsageByService) -> None:
         """Take the time of a request that was served, and the usage of its tree.
@@ -189,35 +217,42 @@
     ) -> TreeRefusal | None:
         """Return why a request should not start now; counts it as demand.
 
-        `random` in [0, 1) spreads the returns, and rounds parts of less than one tree.
+        `random` in [0, 1) decides which part is admitted, and spreads the returns of the others.
         """
         success = self._success(usage, load)
-        grade = min(max(priority, 0), len(USE_BY_PRIORITY) - 1)
+        grade = priority_grade(priority)
         would_finish = success >= MIN_SUCCESS or random < PROBE_PART_BY_PRIORITY[grade]
         worst: TreeRefusal | None = None
         for service, need in self.occupancy(route, usage).items():
-            account = self._account(service)
-            account.offer(usage[service].slot_s, now)
+            accounts = self._accounts(service)
+            accounts[grade].offer(usage[service].slot_s, now)
             slots = load.slots(service)
             if slots <= 0.0:
                 if load.is_known(service):
                     delay_s = self._delay_s(route, 1.0) * (0.5 + random)
-                    return TreeRefusal(service, 0.0, 0.0, 0.0, delay_s)
+                    return TreeRefusal(service, 0.0, 0.0, 0.0, 0.0, delay_s)
                 continue
-            use, others = account.use(now), load.others(service)
-            committed = use.occupied + others.occupied
-            allowed = slots * USE_BY_PRIORITY[grade]
-            part = use.offered / max(use.offered + others.offered, use.offered, 1e-9)
-            fits = committed + need <= allowed or account.occupied + need * random <= allowed * part
-            if fits and would_finish:
+            use = self._use(accounts, now) + load.others(service)
+            committed = sum(use.occupied)
+            before = sum(use.occupied[: grade + 1])
+            part = admitted_parts(use.offered, _room(grade, before, slots))[grade]
+            fits = random < part and before + need <= slots * MAX_USE_BY_PRIORITY[grade]
+            if would_finish and fits:
                 continue
             if worst is None or committed * worst.slots > worst.committed * slots:
-                delay_s = self._delay_s(route, committed / allowed) * (0.5 + random)
+                delay_s = self._delay_s(route, committed / slots) * (0.5 + random)
                 if not would_finish:
                     delay_s = RETRY_AFTER_MAX_S * (0.3 + 0.7 * random)
-                worst = TreeRefusal(service, committed, slots, success, delay_s)
+                worst = TreeRefusal(service, committed, slots, part, success, delay_s)
         return worst
 
+    def _use(self, accounts: tuple[_Account, ...], now: float) -> SlotUse:
+        """Return what is occupied at the moment and asked for on average."""
+        return SlotUse(
+            tuple([account.occupied for account in accounts]),
+            tuple([account.offered(now) for account in accounts]),
+        )
+
     def _delay_s(self, route: str, excess: float) -> float:
         residence_s = self._residence_by_route.get(route, 0.0)
         return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, residence_s * max(1.0, excess)))
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
@@ -13,8 +13,8 @@
 from heapq import heappush
 from math import sqrt
 
+from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_core.dispatch.tree_admission import PROBE_PART_BY_PRIORITY
-from pollenglade_core.dispatch.tree_admission import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.serving.endpoint_queue import EndpointQueue
@@ -82,8 +82,7 @@
 
     def others(self, service: str) -> SlotUse:
         states = [state for node, state in enumerate(self.reported) if node != self.asking]
-        uses = [state[service] for state in states if service in state]
-        return SlotUse(sum(use.occupied for use in uses), sum(use.offered for use in uses))
+        return sum([state[service] for state in states if service in state], SlotUse())
 
     def failure_rate(self, service: str) -> float:
         return self.shed if service == "jury" else 0.0
@@ -119,7 +118,7 @@
             if refusal is not None:
                 self.refused += 1
                 return
-            item.begin(key, "browse", USAGE, self.now)
+            item.begin(key, "browse", self.priority, USAGE, self.now)
         self.trees[key] = Tree(int(key), node, self.now)
         self.at(self.now + ROOT_S, "call", key)
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -16,7 +16,7 @@
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
-from pollenglade_core.dispatch.tree_admission import SlotUse
+from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
 from pollenglade_core.dispatch.tree_cost import TreeCosts
 from pollenglade_core.policy.traffic_policy import Organisation
@@ -222,15 +222,13 @@
             # It could be cut off at the end; requests that run may still make calls.
             call.refuse(Refusal(Reason.DRAINING, Outcome.NOT_RUN, None, "the node stops"))
             return
-        refusal = self._ledger.check(call.context, now, self._source) or self._load_refusal(
-            call, now
-        )
+        refusal = self._ledger.check(call.context, now, self._source)
         if refusal is not None:
             call.refuse(refusal)
             return
         self._budgets.on_request(call.service, now)
         if call.organisation is None:
-            self._start(call)
+            self._start_if_room(call)
             return
         self._tokens.acquire(
             call.organisation.name,
@@ -238,6 +236,14 @@
             lambda granted: self._on_token(call, granted),
         )
 
+    def _start_if_room(self, call: MeshCall) -> None:
+        # After the token: what an organisation asks beyond its rate is no demand for slots.
+        refusal = self._load_refusal(call, monotonic())
+        if refusal is not None:
+            call.refuse(refusal)
+            return
+        self._start(call)
+
     def _load_refusal(self, call: MeshCall, now: float) -> Refusal | None:
         if call.nested:
             return None
@@ -260,7 +266,7 @@
             return
         if granted:
             call.has_token = True
-            self._start(call)
+            self._start_if_room(call)
             return
         name = call.organisation.name if call.organisation is not None else ""
         delay_s = jittered(self._tokens.retry_after_s(name, call.route.objective_s), self._source)
@@ -269,8 +275,9 @@
 
     def _start(self, call: MeshCall) -> None:
         if not call.nested:
-            route = call.route.name
-            self._admission.begin(call.request_id, route, self._costs.of(route), monotonic())
+            route = call.route
+            usage = self._costs.of(route.name)
+            self._admission.begin(call.request_id, route.name, route.priority, usage, monotonic())
         call.start()
 
     def choose(self, call: MeshCall) -> Peer | None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -17,7 +17,8 @@
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
-from pollenglade_core.dispatch.tree_admission import SlotUse
+from pollenglade_core.dispatch.slot_use import PRIORITIES
+from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_net.http_client import Address
 
 from ..membership.links import Links
@@ -78,7 +79,7 @@
             [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate],
             self.policy_version,
             {
-                name: [round(use.occupied, 2), round(use.offered, 2)]
+                name: [round(slots, 2) for slots in (*use.occupied, *use.offered)]
                 for name, use in self.use_by_service.items()
             },
         ]
@@ -111,18 +112,18 @@
                     running, waiting, max(1, limit), float(expected_s), float(failure_rate)
                 )
                 use_by_service = {
-                    name: SlotUse(float(use[0]), float(use[1]))
+                    name: SlotUse(tuple(use[:PRIORITIES]), tuple(use[PRIORITIES:]))
                     for name, use in occupied.items()
-                    if isinstance(name, str) and _is_pair(use)
+                    if isinstance(name, str) and _is_slot_use(use)
                 }
                 return cls(member, ready, endpoint_id, load, version, use_by_service)
         return None
 
 
-def _is_pair(value: object) -> bool:
+def _is_slot_use(value: object) -> bool:
     return (
         isinstance(value, list)
-        and len(value) == 2
+        and len(value) == 2 * PRIORITIES
         and all(isinstance(item, int | float) for item in value)
     )
 
