--- a/packages/pollenglade-cli/src/pollenglade_cli/burn_sources.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/burn_sources.py
@@ -13,7 +13,7 @@
 from pydantic import ValidationError
 
 from pollenglade_core.calls.call_counts import CountBatch
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 
--- a/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/nodes.py
@@ -11,7 +11,7 @@
 from pydantic import Field
 from pydantic import ValidationError
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.platform_api import Row
--- a/packages/pollenglade-cli/src/pollenglade_cli/settings.py
+++ b/packages/pollenglade-cli/src/pollenglade_cli/settings.py
@@ -22,7 +22,7 @@
 from pollenglade_core.variables import COMMAND_SETTINGS
 from pollenglade_core.variables import PREFIX
 from pollenglade_core.variables import unknown_variables
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 SCHEME = "http://"
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/added_latency.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/added_latency.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/caller.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/caller.py
@@ -13,7 +13,7 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 from .arrivals import Surge
 from .deployments import DEPLOYMENTS_BY_NAME
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/control_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/control_cost.py
@@ -22,9 +22,9 @@
 from pollenglade_core.configuration.configuration import Stamp
 from pollenglade_core.configuration.keys import KeyRecord
 from pollenglade_core.configuration.keys import hash_secret
+from pollenglade_net.address import Address
 from pollenglade_net.configuration_store import Committed
 from pollenglade_net.configuration_store import ConfigurationStore
-from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.platform_client import PlatformClient
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/demo.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/demo.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 from .added_latency import AddedLatency
 from .added_latency import LatencyProbe
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/fleet.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/hop_cost.py
@@ -18,7 +18,7 @@
 import typer
 import uvloop
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -28,9 +28,9 @@
 from pollenglade_core.calls.importance import Importance
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/load.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/load.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from random import Random
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/processes.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from types import TracebackType
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/publication.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/publication.py
@@ -19,9 +19,9 @@
 from pollenglade_core.configuration.profile import OrganisationContract
 from pollenglade_core.configuration.profile import Profile
 from pollenglade_core.configuration.profile import RequestRule
+from pollenglade_net.address import Address
 from pollenglade_net.configuration_store import Committed
 from pollenglade_net.configuration_store import ConfigurationStore
-from pollenglade_net.http_client import Address
 from pollenglade_net.platform_client import PlatformClient
 
 from .workload import Deployment
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/publication_command.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/publication_command.py
@@ -11,7 +11,7 @@
 import orjson
 
 from pollenglade_core.configuration.profile import Profile
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 from .publication import profile_of
 from .workload import Deployment
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/target.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/target.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
@@ -12,7 +12,7 @@
 
 import typer
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import async_handler
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 
--- a/packages/pollenglade-emulator/tests/test_emulator/test_target.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_target.py
@@ -16,7 +16,7 @@
 from pollenglade_emulator.run_log import read_log
 from pollenglade_emulator.target import Target
 from pollenglade_emulator.target import TargetSettings
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
--- a/packages/pollenglade-net/src/pollenglade_net/platform_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/platform_client.py
@@ -13,7 +13,7 @@
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.randomness import jittered
 
-from .http_client import Address
+from .address import Address
 from .http_client import HttpClient
 from .http_message import HttpFailure
 from .http_message import HttpResponse
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -10,9 +10,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pollenglade_net.http_client import Address
-from pollenglade_net.http_client import ClientConnection
-from pollenglade_net.http_client import ConnectionPool
+from pollenglade_net.address import Address
+from pollenglade_net.client_connection import ClientConnection
+from pollenglade_net.client_connection import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import MAX_BODY_BYTES
 from pollenglade_net.http_message import FailureReason
--- a/packages/pollenglade-node/src/pollenglade_node/control/configuration_sync.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/configuration_sync.py
@@ -18,9 +18,9 @@
 from pollenglade_core.configuration.configuration_wire import to_wire
 from pollenglade_core.finding import Findings
 from pollenglade_core.randomness import RandomSource
+from pollenglade_net.address import Address
 from pollenglade_net.configuration_store import ConfigurationStore
 from pollenglade_net.configuration_store import Unreadable
-from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
--- a/packages/pollenglade-node/src/pollenglade_node/control/control.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/control.py
@@ -13,7 +13,7 @@
 from pydantic import ValidationError
 
 from pollenglade_core.configuration.profile import NAME_PATTERN
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
--- a/packages/pollenglade-node/src/pollenglade_node/membership/fleet.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/fleet.py
@@ -11,7 +11,7 @@
 from pollenglade_core.membership.member import ServiceOffer
 from pollenglade_core.routing.endpoint import Endpoint
 from pollenglade_core.routing.endpoint import EndpointState
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 from .gossip import Gossip
 from .links import PeerAddress
--- a/packages/pollenglade-node/src/pollenglade_node/membership/gossip.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/gossip.py
@@ -22,7 +22,7 @@
 from pollenglade_core.membership.membership import WireError
 from pollenglade_core.membership.prober import PROBE_TIMEOUT_S
 from pollenglade_core.randomness import RandomSource
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -16,9 +16,9 @@
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
+from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.http_client import Address
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -13,7 +13,7 @@
 from pollenglade_core.dispatch.tree_cost import UsageByService
 from pollenglade_core.dispatch.tree_cost import add_usage
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.http_client import ClientConnection
+from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.http_message import FailureReason
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -26,11 +26,11 @@
 from pollenglade_core.serving.endpoint_record import EndpointReport
 from pollenglade_core.serving.endpoint_record import EndpointState
 from pollenglade_core.serving.endpoint_record import ReportResult
+from pollenglade_net.address import Address
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.http_client import FRESH_IDLE_S
-from pollenglade_net.http_client import MAX_IDLE_S
-from pollenglade_net.http_client import Address
-from pollenglade_net.http_client import ConnectionPool
+from pollenglade_net.client_connection import FRESH_IDLE_S
+from pollenglade_net.client_connection import MAX_IDLE_S
+from pollenglade_net.client_connection import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
@@ -7,7 +7,7 @@
 
 from pollenglade_core.allowance.token_share import AllowanceBounds
 from pollenglade_core.dispatch.retry_budget import RetryBounds
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 STOP_LIMIT_S = 6.0
 """Time in seconds from SIGTERM to SIGKILL where the settings do not say it."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -19,7 +19,7 @@
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.slot_use import PRIORITIES
 from pollenglade_core.dispatch.slot_use import SlotUse
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 from ..membership.links import Links
 from ..membership.links import PeerAddress
--- a/packages/pollenglade-node/src/pollenglade_node/serving/target.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/target.py
@@ -7,7 +7,7 @@
 from pollenglade_core.admission.admission import Admission
 from pollenglade_core.admission.limit import ConcurrencyLimit
 from pollenglade_core.randomness import RandomSource
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 ANNOUNCEMENT_TTL_S = 3.5
 """A target that has not announced itself for this time gets no new calls.
--- a/packages/pollenglade-node/src/pollenglade_node/settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/settings.py
@@ -19,7 +19,7 @@
 from pollenglade_core.finding import Findings
 from pollenglade_core.variables import PREFIX
 from pollenglade_core.variables import unknown_variables
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 
 NODE_NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
 """Names of hosts and regions; they may be domain names."""
--- a/tests/support/plain_node.py
+++ b/tests/support/plain_node.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -11,7 +11,7 @@
 from pollenglade_emulator.announcer import Announcer
 from pollenglade_emulator.announcer import TargetState
 from pollenglade_emulator.processes import NodeProcess
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_message import HttpRequest
 
 Script = Callable[[HttpRequest, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -36,9 +36,9 @@
 from pollenglade_emulator.records import Execution
 from pollenglade_emulator.run_log import read_log
 from pollenglade_emulator.workload import Organisation
+from pollenglade_net.address import Address
 from pollenglade_net.configuration_store import Committed
 from pollenglade_net.configuration_store import ConfigurationStore
-from pollenglade_net.http_client import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/tests/support/zoned_fleet.py
+++ b/tests/support/zoned_fleet.py
@@ -25,7 +25,7 @@
 from pollenglade_emulator.workload import Route
 from pollenglade_emulator.workload import Service
 from pollenglade_emulator.zone_network import ZoneNetwork
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpResponse
--- a/tests/test_system/test_organisations.py
+++ b/tests/test_system/test_organisations.py
@@ -18,7 +18,7 @@
 from support.system import until
 
 from pollenglade_emulator.processes import NodeProcess
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 
--- a/tests/test_system/test_silent_connections.py
+++ b/tests/test_system/test_silent_connections.py
@@ -12,7 +12,7 @@
 from support.zoned_fleet import ZonedFleet
 from support.zoned_fleet import outcome
 
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpResponse
 
--- a/tests/test_system/test_standins.py
+++ b/tests/test_system/test_standins.py
@@ -15,7 +15,7 @@
 from pollenglade_emulator.processes import Processes
 from pollenglade_emulator.run_log import read_log
 from pollenglade_emulator.target import POISON_EXIT_CODE
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
--- a/tests/test_system/test_true_refusals.py
+++ b/tests/test_system/test_true_refusals.py
@@ -22,7 +22,7 @@
 from pollenglade_emulator.processes import ManagedProcess
 from pollenglade_emulator.processes import NodeProcess
 from pollenglade_emulator.processes import TargetProcess
-from pollenglade_net.http_client import Address
+from pollenglade_net.address import Address
 from pollenglade_net.http_message import HttpResponse
 
 CALLERS = 8
