--- a/packages/pollenglade-cli/tests/test_cli/test_burn_command.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_burn_command.py
@@ -17,10 +17,10 @@
 from pollenglade_cli.exit_codes import ExitCode
 from pollenglade_core.calls.call_counts import CallCounts
 from pollenglade_core.calls.outcome import Outcome
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 
 def document(organisation: str = "alder", lost: int = 2) -> str:
--- a/packages/pollenglade-cli/tests/test_cli/test_commands.py
+++ b/packages/pollenglade-cli/tests/test_cli/test_commands.py
@@ -24,10 +24,10 @@
 from pollenglade_core.configuration.keys import parse_key
 from pollenglade_emulator.platform_faults import Faults
 from pollenglade_emulator.platform_standin import PlatformStandIn
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 from pollenglade_net.platform_api import Row
 
 PROFILE = """
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -31,11 +31,11 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
-from pollenglade_net.http_server import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/platform_standin.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/platform_standin.py
@@ -24,9 +24,9 @@
 from pydantic import ValidationError
 
 from pollenglade_net.address import Address
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
-from pollenglade_net.http_server import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.platform_api import Row
 
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/target_standin.py
@@ -13,8 +13,8 @@
 import typer
 
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 from .announcer import Announcer
 from .announcer import TargetState
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_relay.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_relay.py
@@ -14,11 +14,11 @@
 from pydantic import ValidationError
 
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 from .relay import Conduct
 from .relay import Mode
--- a/packages/pollenglade-emulator/tests/test_emulator/test_load.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_load.py
@@ -22,11 +22,11 @@
 from pollenglade_emulator.load import judge
 from pollenglade_emulator.load import pause_before_retry
 from pollenglade_emulator.records import RequestRecord
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 RAN = [(b"pollenglade-outcome", b"ran")]
 REFUSED = [(b"pollenglade-outcome", b"not-run"), (b"pollenglade-reason", b"overloaded")]
--- a/packages/pollenglade-emulator/tests/test_emulator/test_target.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_target.py
@@ -17,13 +17,13 @@
 from pollenglade_emulator.target import Target
 from pollenglade_emulator.target import TargetSettings
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 HOST = "127.0.0.1"
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import dataclass
 from time import monotonic
 from typing import cast
@@ -13,12 +11,12 @@
 import h11
 import orjson
 
+from .exchange import Exchange
 from .http_message import END_OF_MESSAGE
 from .http_message import MAX_BODY_BYTES
 from .http_message import MAX_HEAD_BYTES
 from .http_message import Headers
 from .http_message import HttpRequest
-from .http_message import HttpResponse
 from .http_message import encode_fields
 from .http_message import fields_of
 from .http_message import status_line
@@ -27,7 +25,6 @@
 PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of pipelined requests that are buffered before reading pauses."""
 
-BODYLESS_STATUS = frozenset({204, 304})
 BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
 FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding", b"connection", b"expect"})
 """Fields that say that a body follows or how the connection goes on."""
@@ -53,86 +50,7 @@
     cancel_on_eof: bool = False
 
 
-Handler = Callable[["Exchange"], None]
-AsyncHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
-
-
-class Exchange:
-    """One request and the response that the handler gives to it."""
-
-    __slots__ = ("_bodyless", "_connection", "_method", "on_cancel", "on_drained", "request")
-
-    def __init__(self, connection: ServerConnection, request: HttpRequest) -> None:
-        self._connection: ServerConnection | None = connection
-        self.request = request
-        self._method = request.method
-        self._bodyless = False
-        self.on_cancel: Callable[[], None] | None = None
-        self.on_drained: Callable[[], None] | None = None
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the caller is still connected and waits for the response."""
-        return self._connection is not None
-
-    @property
-    def is_congested(self) -> bool:
-        """Whether the write buffer towards the caller is full."""
-        return self._connection is not None and self._connection.congested
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response in one write."""
-        connection = self._connection
-        if connection is None:
-            return
-        fields = [item for item in headers if item[0] != b"content-length"]
-        if status not in BODYLESS_STATUS:
-            fields.append((b"content-length", b"%d" % len(body)))
-        if self._method == "HEAD" or status in BODYLESS_STATUS:
-            body = b""
-        self._connection = None
-        connection.respond(status, fields, body)
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a streamed response."""
-        if self._connection is None:
-            return
-        self._bodyless = self._method == "HEAD" or status in BODYLESS_STATUS
-        self._connection.write(self._connection.head(status, headers))
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body of a streamed response."""
-        if self._connection is None or self._bodyless or not data:
-            return
-        self._connection.write(self._connection.encode(h11.Data(data=data)))
-
-    def end(self) -> None:
-        """End a streamed response; break the connection where the body is too short."""
-        connection = self._connection
-        if connection is None:
-            return
-        try:
-            tail = connection.encode(END_OF_MESSAGE)
-        except h11.LocalProtocolError:
-            self.abort()
-            return
-        self._finish(connection, tail)
-
-    def abort(self) -> None:
-        """Break the connection so that the caller sees that the response is incomplete."""
-        if self._connection is not None:
-            self._connection.abort()
-
-    def _finish(self, connection: ServerConnection, data: bytes) -> None:
-        self._connection = None
-        connection.write(data)
-        connection.finish_cycle()
-
-    def cancel(self) -> None:
-        """Tell the handler that the caller has gone."""
-        self._connection = None
-        if self.on_cancel is not None:
-            self.on_cancel()
+Handler = Callable[[Exchange], None]
 
 
 class ServerConnection(asyncio.Protocol):
@@ -436,39 +354,3 @@
         for connection in list(self.connections):
             connection.close()
         await asyncio.sleep(0)
-
-
-def async_handler(handle: AsyncHandler) -> Handler:
-    """Adapt a coroutine function to a handler; each request runs in a task of its own."""
-    tasks: set[asyncio.Task[None]] = set()
-
-    async def run(exchange: Exchange) -> None:
-        response = await handle(exchange.request)
-        exchange.respond(response.status, response.headers, response.body)
-
-    def handler(exchange: Exchange) -> None:
-        task = asyncio.get_running_loop().create_task(run(exchange))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        task.add_done_callback(lambda done: _abort_on_error(done, exchange))
-        exchange.on_cancel = lambda: _cancel(task)
-
-    return handler
-
-
-def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-
-
-def _abort_on_error(task: asyncio.Task[None], exchange: Exchange) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        asyncio.get_running_loop().call_exception_handler(
-            {"message": "request handler failed", "exception": task.exception()}
-        )
-        exchange.abort()
-
-
-def without(headers: Headers, names: Iterable[bytes]) -> Headers:
-    """Return the fields whose lower-case name is not listed."""
-    dropped = frozenset(names)
-    return [item for item in headers if item[0] not in dropped]
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -11,8 +11,10 @@
 from hypothesis import strategies as st
 
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.client_connection import ConnectionPool
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import MAX_BODY_BYTES
 from pollenglade_net.http_message import FailureReason
@@ -20,9 +22,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import end_to_end_headers
-from pollenglade_net.http_server import Exchange
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 READ_LIMIT_S = 5.0
 
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
@@ -23,9 +23,9 @@
 from pollenglade_core.routing.routing import Router
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
-from pollenglade_net.http_server import Exchange
 
 from ..serving.serving import Serving
 from ..serving.serving_call import Child
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
@@ -19,9 +19,9 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.routing.endpoint import Route
 from pollenglade_net.attempt import Attempt
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
-from pollenglade_net.http_server import Exchange
 from pollenglade_net.link_message import Feedback
 
 from .refusal_response import respond_refusal
--- a/packages/pollenglade-node/src/pollenglade_node/entry/refusal_response.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/refusal_response.py
@@ -7,8 +7,8 @@
 import orjson
 
 from pollenglade_core.calls.outcome import Refusal
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import Headers
-from pollenglade_net.http_server import Exchange
 
 
 def respond_refusal(exchange: Exchange, refusal: Refusal) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -25,10 +25,10 @@
 from pollenglade_core.policy.weighted_split import WeightedSplit
 from pollenglade_core.randomness import jittered
 from pollenglade_net.attempt import Attempt
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
-from pollenglade_net.http_server import Exchange
 
 from ..membership.links import Links
 from .endpoint_serving import EndpointServing
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -20,9 +20,9 @@
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
 from pollenglade_net.attempt import Attempt
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
-from pollenglade_net.http_server import Exchange
 from pollenglade_net.link_message import Feedback
 
 from .endpoint_call import EndpointCall
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -16,7 +16,7 @@
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBudgets
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
-from pollenglade_net.http_server import Exchange
+from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import MAX_BODY_BYTES
--- a/tests/support/plain_node.py
+++ b/tests/support/plain_node.py
@@ -16,6 +16,7 @@
 import orjson
 
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
@@ -23,7 +24,6 @@
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 from pollenglade_net.platform_client import PlatformClient
 
 PREFIX = "plain/"
--- a/tests/test_system/test_standins.py
+++ b/tests/test_system/test_standins.py
@@ -16,12 +16,12 @@
 from pollenglade_emulator.run_log import read_log
 from pollenglade_emulator.target import POISON_EXIT_CODE
 from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import async_handler
 
 QUIET_S = 0.5
 LIMIT_S = 20.0
