Estimate an organisation's requests in one place

The desk and the demand for tokens each kept a decaying count of the same requests. The loans are sized by the rate of TokenDemand now; the two counts decay alike.

--- a/packages/pollenglade-core/src/pollenglade_core/allowance/return_delay.py
+++ b/packages/pollenglade-core/src/pollenglade_core/allowance/return_delay.py
@@ -36,11 +36,18 @@
 
     def on_request(self, granted: bool, now: float) -> None:
         """Count a request."""
-        kept = exp(min(0.0, self._updated_at - now) / AVERAGE_S)
+        kept = self._kept(now)
         self._updated_at = now
         self._requests = self._requests * kept + 1.0
         self._granted = self._granted * kept + (1.0 if granted else 0.0)
 
+    def rate_per_s(self, now: float) -> float:
+        """Return the recent requests per second."""
+        return self._requests * self._kept(now) / AVERAGE_S
+
+    def _kept(self, now: float) -> float:
+        return exp(min(0.0, self._updated_at - now) / AVERAGE_S)
+
     def delay_s(self, objective_s: float) -> float:
         """Return after how many seconds a refused request should come back, before jitter."""
         ratio = self._requests / max(self._granted, 1.0)
--- a/packages/pollenglade-core/tests/test_core/test_allowance/test_return_delay.py
+++ b/packages/pollenglade-core/tests/test_core/test_allowance/test_return_delay.py
@@ -90,3 +90,11 @@
         demand = TokenDemand()
         demand.on_request(False, 0.0)
         self.assertLess(2 * demand.delay_s(0.3), 0.15)
+
+    def test_the_rate_follows_the_requests_and_is_forgotten(self) -> None:
+        """Loans are sized by it; a stale rate would draw tokens that others need."""
+        demand = TokenDemand()
+        for step in range(400):
+            demand.on_request(step % 2 == 0, step * 0.02)
+        self.assertAlmostEqual(demand.rate_per_s(8.0), 50.0, delta=2.5)
+        self.assertLess(demand.rate_per_s(13.0), 1.0)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -49,14 +49,6 @@
         self.dry_until = 0.0
         self.round = 0
         self.open_asks = 0
-        self.requests = 0.0
-        self.counted_at = 0.0
-
-    def count(self, now: float) -> None:
-        """Count a request for the estimate of the rate over about one second."""
-        kept = max(0.0, 1.0 - (now - self.counted_at))
-        self.requests = self.requests * kept + 1.0
-        self.counted_at = now
 
 
 class TokenDesk:
@@ -110,7 +102,6 @@
             done(True)
             return
         now = monotonic()
-        account.count(now)
         if not account.waiting and account.share.take(now, priority):
             account.demand.on_request(True, now)
             done(True)
@@ -150,7 +141,7 @@
         if not chosen:
             self._settle(account, now)
             return
-        wanted = max(1.0, account.requests * PREFETCH_S)
+        wanted = max(1.0, account.demand.rate_per_s(now) * PREFETCH_S)
         account.round += 1
         number = account.round
         account.open_asks = len(chosen)
