--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -157,15 +157,14 @@
 
     def slot_use(self, service: str, now: float, own_node: str) -> SlotUse:
         """Return the sum of what the other reachable nodes tell about a service."""
-        return sum(
+        return SlotUse.total(
             [
                 peer.use_by_service[service]
                 for peer in self.by_node.values()
                 if service in peer.use_by_service
                 and peer.node != own_node
                 and now - peer.heard_at < SILENT_S
-            ],
-            SlotUse(),
+            ]
         )
 
     def failure_rate(self, service: str, now: float) -> float:
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/slot_use.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/slot_use.py
@@ -33,12 +33,16 @@
     occupied: tuple[float, ...] = NO_SLOTS
     offered: tuple[float, ...] = NO_SLOTS
 
-    def __add__(self, other: SlotUse) -> SlotUse:
-        return SlotUse(_sum(self.occupied, other.occupied), _sum(self.offered, other.offered))
+    @classmethod
+    def total(cls, uses: Sequence[SlotUse]) -> SlotUse:
+        """Return the sum of what several nodes use."""
+        if not uses:
+            return cls()
+        return cls(_sums([use.occupied for use in uses]), _sums([use.offered for use in uses]))
 
 
-def _sum(first: Sequence[float], second: Sequence[float]) -> tuple[float, ...]:
-    return tuple([one + two for one, two in zip(first, second, strict=True)])
+def _sums(rows: Sequence[Sequence[float]]) -> tuple[float, ...]:
+    return tuple(map(sum, zip(*rows, strict=True)))
 
 
 def admitted_parts(offered: Sequence[float], slots: float) -> tuple[float, ...]:
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -232,7 +232,7 @@
                     delay_s = self._delay_s(route, 1.0) * (0.5 + random)
                     return TreeRefusal(service, 0.0, 0.0, 0.0, 0.0, delay_s)
                 continue
-            use = self._use(accounts, now) + load.others(service)
+            use = SlotUse.total([self._use(accounts, now), load.others(service)])
             committed = sum(use.occupied)
             before = sum(use.occupied[: grade + 1])
             part = admitted_parts(use.offered, _room(grade, before, slots))[grade]
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
@@ -82,7 +82,7 @@
 
     def others(self, service: str) -> SlotUse:
         states = [state for node, state in enumerate(self.reported) if node != self.asking]
-        return sum([state[service] for state in states if service in state], SlotUse())
+        return SlotUse.total([state[service] for state in states if service in state])
 
     def failure_rate(self, service: str) -> float:
         return self.shed if service == "jury" else 0.0
