--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -24,6 +24,7 @@
 from ..serving.relay_window import RelayWindow
 from .header_names import HeaderNames
 from .response_check import check_response
+from .stage import Stage
 
 WHOLE_RESPONSE_BYTES = 256 * 1024
 """A response up to this size is held until it is whole, so that a broken one can be repeated."""
@@ -65,6 +66,9 @@
     def on_wrong_endpoint(self) -> None:
         """Take the notice that another endpoint has the address."""
 
+    def on_cancelled(self, call: EndpointCall) -> None:
+        """Take a call that the entry node gives up."""
+
 
 class EndpointCall:
     """Relays one call to the endpoint; sink of its response and attempt for the entry node."""
@@ -104,6 +108,20 @@
         """Whether the call left the queue."""
         return self._started_at is not None
 
+    @property
+    def stage(self) -> Stage:
+        """What holds the work of this call at the moment."""
+        if self._streaming:
+            return Stage.STREAMING
+        if self._connection is not None:
+            return Stage.RUNNING
+        return Stage.CONNECTING if self.is_started else Stage.QUEUED
+
+    @property
+    def age_s(self) -> float:
+        """Time in seconds since the call came to this node."""
+        return monotonic() - self._queued_at
+
     def start(self, connection: ClientConnection | None) -> None:
         """Send the call, on a connection that is still to be opened where there is none."""
         self._started_at = monotonic()
@@ -231,6 +249,7 @@
         if self._sink is None:
             return
         self._sink = None
+        self._owner.on_cancelled(self)
         if self._connection is not None:
             self._connection.cancel(self)
         self._end(completed=False)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -267,6 +267,10 @@
         """Log a call that ends without a response."""
         self._request_log.on_attempt(call, refusal, self.load())
 
+    def on_cancelled(self, call: EndpointCall) -> None:
+        """Log a call that the entry node gives up."""
+        self._request_log.on_attempt_cancelled(call)
+
     def on_wrong_endpoint(self) -> None:
         """Stop sending to an endpoint whose address another one has taken."""
         self._mark_down("another endpoint has the address")
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -262,7 +262,7 @@
             return
         if granted and not call.is_awaited:
             call.has_token = True
-            call.refuse(Refusal(Reason.CANCELLED))
+            call.refuse(Refusal(Reason.CANCELLED, detail=call.stage.value))
             return
         if granted:
             call.has_token = True
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -28,6 +28,7 @@
 from .endpoint_call import EndpointCall
 from .final_answer import SERVED
 from .final_answer import FinalAnswer
+from .stage import Stage
 
 MAX_PLACEMENTS = 4
 """Endpoints that are asked in turn while each gives the request back unsent."""
@@ -174,6 +175,13 @@
         """Whether the client is still connected."""
         return self._exchange.is_open
 
+    @property
+    def stage(self) -> Stage:
+        """What holds the work of this request at the moment."""
+        if self._streaming:
+            return Stage.STREAMING
+        return Stage.TOKEN if self.current is None else Stage.PLACED
+
     @property
     def parent_id(self) -> str | None:
         """Id of the request whose run made this one."""
@@ -386,7 +394,8 @@
         self._end()
         if self._attempt is not None:
             self._attempt.cancel()
-        self._owner.on_final(self, FinalAnswer(0, Reason.CANCELLED.value, ran=True))
+        final = FinalAnswer(0, Reason.CANCELLED.value, ran=True, detail=self.stage.value)
+        self._owner.on_final(self, final)
 
     def _end(self) -> None:
         self.is_done = True
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
@@ -59,6 +59,9 @@
     def answers(self) -> dict[tuple[int, str], int]:
         """Return the answers by status and reason."""
 
+    def cancelled_attempts(self) -> dict[str, int]:
+        """Return the attempts at this node that were given up, by stage."""
+
     def latency(self) -> LatencyHistogram:
         """Return the times of requests by decision."""
 
@@ -125,8 +128,13 @@
             for label in latency.sum_by_label:
                 yield Observation(latency.count(label), {"decision": label})
 
+        def cancelled() -> Iterator[Observation]:
+            for stage, count in self._readings.cancelled_attempts().items():
+                yield Observation(count, {"stage": stage})
+
         name = "pollenglade.mesh.request.duration.seconds"
         counter("pollenglade.mesh.answers", "Answers by status and reason.", answers)
+        counter("pollenglade.mesh.attempts.cancelled", "Attempts given up, by stage.", cancelled)
         counter(f"{name}.bucket", "Time from arrival to answer.", buckets)
         counter(f"{name}.sum", "Time from arrival to answer.", sums)
         counter(f"{name}.count", "Time from arrival to answer.", counts)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -28,6 +28,7 @@
 from .endpoint_serving import EndpointServing
 from .entry import MeshEntry
 from .header_names import HeaderNames
+from .loop_delay import LoopDelay
 from .mesh_metrics import LatencyHistogram
 from .mesh_settings import MeshSettings
 from .peer_exchange import STATE_TOPIC
@@ -72,6 +73,7 @@
         )
         self._ledger = CrashLedger()
         self.request_log = RequestLog()
+        self._loop_delay = LoopDelay()
         self.serving = EndpointServing(
             f"{settings.node}/{incarnation:x}",
             settings.service,
@@ -199,6 +201,10 @@
         """Return the answers by status and reason."""
         return dict(self.request_log.answers)
 
+    def cancelled_attempts(self) -> dict[str, int]:
+        """Return the attempts at this node that were given up, by stage."""
+        return {stage.value: n for stage, n in self.request_log.cancelled_by_stage.items()}
+
     def latency(self) -> LatencyHistogram:
         """Return the times of requests by decision."""
         return self.request_log.latency
@@ -212,6 +218,7 @@
             "members_unreachable": len(self.peers.unreachable_since),
             "endpoints_usable": sum(peer.is_usable(now) for peer in self.view.by_node.values()),
             "policy_version": self.policy.version,
+            "loop_delay_seconds": self._loop_delay.longest_s,
             "endpoint_running": running,
             "endpoint_waiting": waiting,
             "endpoint_limit": limit,
@@ -225,6 +232,7 @@
         await self._server.start(settings.caller_address.host, settings.caller_address.port)
         await self._links.start(settings.link_address)
         self.peers.start()
+        self._loop_delay.start()
         log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
 
     async def stop_gracefully(self) -> None:
@@ -245,6 +253,7 @@
 
     async def close(self) -> None:
         """Close all ports and connections."""
+        self._loop_delay.close()
         self.peers.close()
         await self._server.close()
         await self.serving.close()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -9,6 +9,7 @@
 import structlog
 
 from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
@@ -16,6 +17,7 @@
 from .final_answer import SERVED
 from .final_answer import FinalAnswer
 from .mesh_metrics import LatencyHistogram
+from .stage import Stage
 
 LINES_PER_REASON_AND_S = 5
 """Request lines of one reason and second; further ones are counted and reported together."""
@@ -32,6 +34,14 @@
     request_id: bytes
     context: CallContext
 
+    @property
+    def stage(self) -> Stage:
+        """What holds the work of the attempt."""
+
+    @property
+    def age_s(self) -> float:
+        """Time in seconds since the attempt came to this node."""
+
 
 class LoggedCall(Protocol):
     """What the log tells of a request."""
@@ -64,6 +74,7 @@
         self._left_out: Counter[str] = Counter()
         self._served = 0
         self.answers: Counter[tuple[int, str]] = Counter()
+        self.cancelled_by_stage: Counter[Stage] = Counter()
         self.latency = LatencyHistogram()
 
     def on_final(self, call: LoggedCall, final: FinalAnswer) -> None:
@@ -116,6 +127,21 @@
             left_ms=round(call.context.remaining_s(monotonic()) * 1000),
         )
 
+    def on_attempt_cancelled(self, call: LoggedAttempt) -> None:
+        """Take an attempt at this node that the entry node gives up."""
+        self.cancelled_by_stage[call.stage] += 1
+        decision = f"attempt-{Reason.CANCELLED.value}"
+        if not self._may_write(decision, monotonic()):
+            return
+        log.info(
+            "attempt",
+            request=call.request_id.decode("latin-1"),
+            service=call.context.service,
+            decision=Reason.CANCELLED.value,
+            stage=call.stage.value,
+            ms=round(call.age_s * 1000, 1),
+        )
+
     def on_rejected(self, request_id: str, status: int, reason: str, policy: int) -> None:
         """Take a request that had no route or no organisation."""
         self.answers[(status, reason)] += 1
