--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -33,6 +33,7 @@
 from pollenglade_net.link_message import Hello
 from pollenglade_net.link_message import Kind
 from pollenglade_net.link_message import pack
+from pollenglade_net.link_message import pack_request
 
 WAIT_S = 5.0
 
@@ -188,6 +189,25 @@
             async with asyncio.timeout(WAIT_S):
                 self.assertEqual(b"to-%d" % number, await sink.result)
 
+    async def test_call_that_is_cancelled_before_it_was_sent_reaches_the_peer(self) -> None:
+        link = await self.pair.connect()
+        link.call(context(1), request(b"gone"), Sink()).cancel()
+        link.call(context(2), request(b"kept"), Sink())
+        await self.pair.wait_calls(1)
+        self.assertEqual([b"kept"], [call.body for call in self.pair.server.calls])
+
+    async def test_call_that_is_read_together_with_its_cancellation_starts(self) -> None:
+        """A peer that stood still has the calls of callers that have long gone before it."""
+        await self.pair.connect()
+        (link,) = self.pair.server.links
+        now = monotonic()
+        link.data_received(
+            pack_request(7, context(1), request(b"gone"), now)
+            + pack_request(9, context(2), request(b"kept"), now)
+            + pack([Kind.CANCEL, 7])
+        )
+        self.assertEqual([b"kept"], [call.body for call in self.pair.server.calls])
+
     async def test_cancelled_call_gets_nothing_more(self) -> None:
         """A response that crosses a cancel must not reach a caller that has gone."""
         link = await self.pair.connect()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -126,6 +126,11 @@
             self._costs.restore(route, tree.usage)
             self._admission.restore(route, tree.residence_s)
 
+    @property
+    def open_requests(self) -> int:
+        """Requests that wait for their answer."""
+        return self._open_calls
+
     @property
     def is_busy(self) -> bool:
         """Whether requests wait for their answer."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -218,6 +218,7 @@
             "members_unreachable": len(self.peers.unreachable_since),
             "endpoints_usable": sum(peer.is_usable(now) for peer in self.view.by_node.values()),
             "policy_version": self.policy.version,
+            "requests_open": self._entry.open_requests,
             "loop_delay_seconds": self._loop_delay.longest_s,
             "endpoint_running": running,
             "endpoint_waiting": waiting,
--- /dev/null
+++ b/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
@@ -0,0 +1,153 @@
+"""Guards against links that keep or lose the work of calls when they are replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from time import monotonic
+
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_emulator.relay import Conduct
+from pollenglade_emulator.relay import Mode
+from pollenglade_emulator.relay import Relay
+from pollenglade_net.address import Address
+from pollenglade_net.attempt import Attempt
+from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.http_message import Headers
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.link import PONG_TIMEOUT_S
+from pollenglade_net.link import SILENCE_S
+from pollenglade_net.link_message import Feedback
+from pollenglade_net.link_message import Hello
+from pollenglade_node.membership.links import CHECK_INTERVAL_S
+from pollenglade_node.membership.links import Links
+from pollenglade_node.membership.links import PeerAddress
+
+WAIT_S = 3.0
+GIVEN_UP_WITHIN_S = SILENCE_S + PONG_TIMEOUT_S + 3 * CHECK_INTERVAL_S + 0.5
+"""Time in seconds from the silence of a link until its calls must have ended at the peer."""
+
+
+class Sink:
+    """Keeps the refusal of one attempt."""
+
+    def __init__(self) -> None:
+        self.refusal: Refusal | None = None
+
+    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
+        raise AssertionError("no call of these tests is answered")
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        raise AssertionError("no call of these tests is answered")
+
+    def on_data(self, data: bytes) -> None:
+        raise AssertionError("no call of these tests is answered")
+
+    def on_end(self, feedback: Feedback) -> None:
+        raise AssertionError("no call of these tests is answered")
+
+    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
+        self.refusal = refusal
+
+    def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
+        self.refusal = refusal
+
+
+@dataclass
+class EndlessCall:
+    """A call that runs until it is cancelled."""
+
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+    def credit(self, count: int) -> None:
+        raise AssertionError("nothing is streamed")
+
+
+@dataclass
+class EndlessRunner:
+    """Keeps the calls that peers sent."""
+
+    calls: list[EndlessCall] = field(default_factory=list)
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
+        call = EndlessCall()
+        self.calls.append(call)
+        return call
+
+
+def context(call_id: str) -> CallContext:
+    """Return the context of a call with much time left."""
+    return CallContext(
+        call_id, "acme", "p", "fees", Importance.NORMAL, monotonic() + 30.0, RetryAllowance(1)
+    )
+
+
+async def eventually(condition: Callable[[], bool], limit_s: float = WAIT_S) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class SilentLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.runner = EndlessRunner()
+        self.serving = await self._links("serving", self.runner)
+        self.entry = await self._links("entry", EndlessRunner())
+        self.relay = Relay("127.0.0.1", self._port(self.serving))
+        await self.relay.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.relay.close)
+        address = Address("127.0.0.1", self.relay.port)
+        self.entry.peers_by_node["serving"] = PeerAddress(address, 1)
+
+    async def _links(self, name: str, runner: EndlessRunner) -> Links:
+        links = Links(Hello(name, 1, "z1"), runner)
+        await links.start(Address("127.0.0.1", 0))
+        self.addAsyncCleanup(links.close)
+        return links
+
+    def _port(self, links: Links) -> int:
+        assert links._server is not None
+        return int(links._server.sockets[0].getsockname()[1])
+
+    def _send(self, call_id: str) -> Sink:
+        sink = Sink()
+        self.entry.send("serving", context(call_id), HttpRequest("GET", b"/", []), sink)
+        return sink
+
+    async def test_calls_of_a_link_that_went_silent_go_on_at_the_peer(self) -> None:
+        """The entry node has given them up and may have sent them elsewhere."""
+        sink = self._send("a")
+        await eventually(lambda: len(self.runner.calls) == 1)
+        self.relay.apply(Conduct(Mode.SILENT), only_open=True)
+        await eventually(lambda: sink.refusal is not None)
+        await eventually(lambda: self.runner.calls[0].cancelled, GIVEN_UP_WITHIN_S)
+
+    async def test_calls_of_a_new_link_are_lost_with_the_old_one(self) -> None:
+        first = self._send("a")
+        await eventually(lambda: len(self.runner.calls) == 1)
+        self.relay.apply(Conduct(Mode.SILENT), only_open=True)
+        await eventually(lambda: first.refusal is not None)
+        second = self._send("b")
+        await eventually(lambda: len(self.runner.calls) == 2)
+        await asyncio.sleep(GIVEN_UP_WITHIN_S)
+        self.assertFalse(self.runner.calls[1].cancelled)
+        self.assertIsNone(second.refusal)
+
+    async def test_calls_and_questions_at_the_same_moment_open_two_links(self) -> None:
+        """The peer would take one of them for the replacement of the other."""
+        answers: list[object] = []
+        for number in range(5):
+            self._send(f"c{number}")
+            self.entry.ask_node("serving", "unknown", None, answers.append)
+        await eventually(lambda: len(self.runner.calls) == 5 and len(answers) == 5)
+        self.assertEqual(self.relay.open_connections, 1)
