Notice a caller that leaves before it has read what was written

Callers saw nothing; an endpoint went on to write a stream for a client that had closed its sending side and did not read.

Cause: on the end of the stream the server asked the transport to close, which waits until buffered output is written. Nobody read it, so connection_lost, and with it the cancellation of the exchange, never came.

Fix: the exchange is cancelled as soon as the end of the stream is seen, whatever is buffered; the connection is aborted when its output stays unread for 5 s. Works on both loops, because it needs no event after the end of the stream.

--- /dev/null
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/departure.py
@@ -0,0 +1,36 @@
+"""The ways in which a caller ends its connection before the response."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing sends a reset."""
+
+
+def close(connection: socket.socket) -> None:
+    """Close; the peer sees the end of the stream, and a reset once it writes."""
+    connection.close()
+
+
+def reset(connection: socket.socket) -> None:
+    """Reset, as a process does that ends with unread data."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
+def half_close(connection: socket.socket) -> None:
+    """Close the sending side only and read nothing more."""
+    connection.shutdown(socket.SHUT_WR)
+
+
+Departure = Callable[[socket.socket], None]
+
+DEPARTURES: dict[str, Departure] = {
+    "closed": close,
+    "reset": reset,
+    "half closed": half_close,
+}
+"""All ways by name."""
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -31,6 +31,10 @@
 
 LISTEN_BACKLOG = 1024
 
+UNREAD_TIMEOUT_S = 5.0
+"""Time in seconds in which a caller that has closed its sending side must take what was written;
+endpoints cut off a response that stays unread for a time like this."""
+
 EXPIRY_INTERVAL_S = 0.5
 """Time in seconds between looks for connections whose time is up."""
 
@@ -91,6 +95,9 @@
         self._transport = None
         self._set_timer(None, self.close)
         self._server.connections.discard(self)
+        self._cancel_exchange()
+
+    def _cancel_exchange(self) -> None:
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
             exchange.cancel()
@@ -130,6 +137,9 @@
     def eof_received(self) -> bool:
         self._eof = True
         if self._limits.cancel_on_eof and self._exchange is not None:
+            # The connection closes only after the caller has read what is buffered.
+            self._cancel_exchange()
+            self._set_timer(UNREAD_TIMEOUT_S, self.abort)
             return False
         self._h11.receive_data(b"")
         self._advance()
