Notice a caller that leaves behind its pipelined requests

Callers saw nothing; endpoints went on with a request whose client had closed, half closed or reset its connection, where the client had sent more than 64 KB of further requests.

Cause: beyond that limit the server stops to read, and the end of a stream is seen only after everything before it has been read.

Fix: a pause lasts 0.25 s at most. Then the server reads on and drops what it reads, so that it sees the caller leave; the requests that it had read are answered, and the connection closes behind them. What was dropped was never read as a request, so its caller may send it again.

Tried first and taken back: a look at POLLRDHUP each 0.1 s. It misses a caller whose bytes fill the buffers of both hosts, because the end of the stream waits behind them (4 of 6 cases of the test).

Evidence: test_a_request_with_pipelined_ones_goes_on_after_its_client_has_left and test_a_caller_behind_its_pipelined_requests_is_not_missed (three ways to leave, both loops) failed before (6 of 6 cases of the latter) and pass. test_requests_that_were_read_before_a_pause_are_left_unanswered guards the other side.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -25,6 +25,10 @@
 PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of pipelined requests that are buffered before reading pauses."""
 
+PAUSE_LIMIT_S = 0.25
+"""Time in seconds without reading from a caller, whose end of the stream cannot be seen meanwhile;
+half of the time in which work for a caller that has left should end."""
+
 BODYLESS_METHODS = frozenset({b"GET", b"HEAD"})
 FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding", b"connection", b"expect"})
 """Fields that say that a body follows or how the connection goes on."""
@@ -74,6 +78,8 @@
         self._is_whole = False
         self._exchange: Exchange | None = None
         self._eof = False
+        self._pause: asyncio.TimerHandle | None = None
+        self._discarding = False
         self.congested = False
 
     @property
@@ -94,6 +100,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._set_timer(None, self.close)
+        self._stop_pause()
         self._server.connections.discard(self)
         self._cancel_exchange()
 
@@ -111,6 +118,8 @@
             self._exchange.on_drained()
 
     def data_received(self, data: bytes) -> None:
+        if self._discarding:
+            return
         self._h11.receive_data(data)
         if self._exchange is None:
             if self._request is None:
@@ -118,6 +127,23 @@
             self._advance()
         elif self._transport and len(self._h11.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
             self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self._pause = loop.call_later(PAUSE_LIMIT_S, self._discard_further)
+
+    def _discard_further(self) -> None:
+        """Read on, only to see when the caller leaves.
+
+        The connection closes after the requests that were read; those behind them were not, so the
+        caller may send them again.
+        """
+        self._discarding = True
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _stop_pause(self) -> None:
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
 
     def _set_timer(self, delay_s: float | None, callback: Callable[[], None]) -> None:
         # The server looks at all connections together; a timer each costs more than a request.
@@ -141,7 +167,8 @@
             self._cancel_exchange()
             self._set_timer(UNREAD_TIMEOUT_S, self.abort)
             return False
-        self._h11.receive_data(b"")
+        if not self._discarding:
+            self._h11.receive_data(b"")
         self._advance()
         # A caller may close its sending side and still wait for responses.
         return self._exchange is not None
@@ -154,7 +181,9 @@
                 self.reject(error.error_status_hint, str(error))
                 return
             if event is h11.NEED_DATA:
-                if self._h11.they_are_waiting_for_100_continue:
+                if self._discarding:
+                    self.close()
+                elif self._h11.they_are_waiting_for_100_continue:
                     continue_head = h11.InformationalResponse(status_code=100, headers=[])
                     self.write(self.encode(continue_head))
                 return
@@ -270,9 +299,10 @@
     def _await_request(self, has_data: bool) -> None:
         if self._transport is None:
             return
-        if self._eof and not has_data:
+        if (self._eof or self._discarding) and not has_data:
             self.close()
             return
+        self._stop_pause()
         if not self._eof:
             self._transport.resume_reading()
         self._set_timer(self._limits.idle_timeout_s, self.close)
--- a/packages/pollenglade-net/tests/test_net/test_departures.py
+++ b/packages/pollenglade-net/tests/test_net/test_departures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import unittest
 import unittest.mock
@@ -135,3 +136,39 @@
 
         self.enterContext(unittest.mock.patch.object(http_server, "UNREAD_TIMEOUT_S", 0.2))
         self.play(scenario, streams=True)
+
+    def test_a_caller_behind_its_pipelined_requests_is_not_missed(self) -> None:
+        async def scenario(server: Server, client: socket.socket, leave: Departure) -> None:
+            client.send(REQUEST)
+            await eventually(lambda: len(server.exchanges) == 1)
+            for _ in range(3):
+                client.send(PIPELINED)
+                await asyncio.sleep(0.02)
+            leave(client)
+            await eventually(lambda: server.cancelled == 1)
+            self.assertEqual(len(server.exchanges), 1)
+
+        self.play(scenario)
+
+    def test_requests_that_were_read_before_a_pause_are_left_unanswered(self) -> None:
+        """The caller gets an answer to each of them, then the end of the connection."""
+
+        async def scenario(server: Server, client: socket.socket, leave: Departure) -> None:
+            client.send(REQUEST)
+            await eventually(lambda: len(server.exchanges) == 1)
+            client.send(PIPELINED)
+            await asyncio.sleep(2 * http_server.PAUSE_LIMIT_S)
+            client.send(PIPELINED)
+            answered = 0
+            received = b"-"
+            async with asyncio.timeout(10):
+                while received:
+                    while server.exchanges:
+                        answered += 1
+                        server.exchanges.pop().respond(200, [], b"")
+                    await asyncio.sleep(0)
+                    with contextlib.suppress(BlockingIOError):
+                        received = client.recv(65536)
+            self.assertGreater(answered, http_server.PIPELINE_LIMIT_BYTES // len(REQUEST))
+
+        self.play(scenario)
