Do not handle a request whose caller has left before it was read

Callers saw nothing; a node that had stood still, or was behind, sent the requests of clients that had long given up to endpoints, and cancelled each a moment later.

Cause: a request and the end of its connection that wait in the same buffer are two events. The first one alone was enough to start the request.

Fix: before a request is handled the server asks the operating system whether its caller has left (POLLRDHUP sees the end of the stream behind bytes that are not read).

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -21,6 +21,7 @@
 from .http_message import fields_of
 from .http_message import status_line
 from .http_message import valid_headers
+from .peer_watch import PeerWatch
 
 PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of pipelined requests that are buffered before reading pauses."""
@@ -71,6 +72,7 @@
         self._expires_at: float | None = None
         self._on_expiry: Callable[[], None] = self.close
         self._transport: asyncio.Transport | None = None
+        self._peer: PeerWatch | None = None
         self._request: h11.Request | None = None
         self._fields: Headers = []
         self._body: list[bytes] = []
@@ -94,6 +96,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        if self._limits.cancel_on_eof:
+            self._peer = PeerWatch(self._transport)
         self._server.add(self)
         self._set_timer(self._limits.idle_timeout_s, self.close)
 
@@ -241,6 +245,10 @@
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         self._request = None
         self._body = []
+        if self._peer is not None and self._peer.has_left:
+            # The request was read late, and its caller has given it up.
+            self.abort()
+            return
         request = HttpRequest(event.method.decode(), event.target, self._fields, body)
         exchange = Exchange(self, request)
         self._exchange = exchange
--- a/packages/pollenglade-net/tests/test_net/test_departures.py
+++ b/packages/pollenglade-net/tests/test_net/test_departures.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 import unittest
 import unittest.mock
 from collections.abc import Awaitable
@@ -172,3 +173,14 @@
             self.assertGreater(answered, http_server.PIPELINE_LIMIT_BYTES // len(REQUEST))
 
         self.play(scenario)
+
+    def test_a_request_that_is_read_after_its_caller_has_left_is_handled(self) -> None:
+        async def scenario(server: Server, client: socket.socket, leave: Departure) -> None:
+            await eventually(lambda: server.connections == 1)
+            client.send(REQUEST)
+            leave(client)
+            time.sleep(0.05)
+            await eventually(lambda: server.connections == 0)
+            self.assertEqual(server.exchanges, [])
+
+        self.play(scenario)
