Abandon the wait for a token when the client leaves

A request whose client had left kept its place among those that wait for a loan, was granted a token before others of its organisation, and counted as open until then.

Cause: the handler for a leaving client was set only at the first attempt. Before it nothing told the token desk.

Fix: a request listens for its client from the start, and the token desk returns a function that abandons the wait, as the quota of the own interface does. A request that was given up there has not run, and is logged so.

Evidence: test_a_wait_for_a_token_goes_on_after_its_client_has_left failed before and passes.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -235,7 +235,7 @@
         if call.organisation is None:
             self._start_if_room(call)
             return
-        self._tokens.acquire(
+        call.abandon_wait = self._tokens.acquire(
             call.organisation.name,
             call.route.priority,
             lambda granted: self._on_token(call, granted),
@@ -263,12 +263,6 @@
         return Refusal(Reason.OVERLOADED, Outcome.NOT_RUN, refusal.retry_after_s, str(refusal))
 
     def _on_token(self, call: MeshCall, granted: bool) -> None:
-        if call.is_done:
-            return
-        if granted and not call.is_awaited:
-            call.has_token = True
-            call.refuse(Refusal(Reason.CANCELLED, detail=call.stage.value))
-            return
         if granted:
             call.has_token = True
             self._start_if_room(call)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from time import monotonic
 from typing import Protocol
 
@@ -158,6 +159,7 @@
         self.current: AttemptResult | None = None
         self.attempts = 0
         self.placements = 0
+        self.abandon_wait: Callable[[], None] | None = None
         self._attempt: Attempt | None = None
         self._may_have_run = False
         self._held: tuple[int, Headers, bytes] | None = None
@@ -169,11 +171,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._last_refusal = Refusal(Reason.NO_TARGET)
         self.context = self._new_context()
-
-    @property
-    def is_awaited(self) -> bool:
-        """Whether the client is still connected."""
-        return self._exchange.is_open
+        exchange.on_cancel = self._on_client_gone
 
     @property
     def stage(self) -> Stage:
@@ -194,7 +192,6 @@
 
     def start(self) -> None:
         """Make the first attempt."""
-        self._exchange.on_cancel = self._on_client_gone
         delay_s = max(0.0, self.deadline - monotonic())
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timeout)
         self._place()
@@ -392,9 +389,12 @@
         if self.is_done:
             return
         self._end()
+        if self.abandon_wait is not None:
+            self.abandon_wait()
         if self._attempt is not None:
             self._attempt.cancel()
-        final = FinalAnswer(0, Reason.CANCELLED.value, ran=True, detail=self.stage.value)
+        ran = self.stage is not Stage.TOKEN
+        final = FinalAnswer(0, Reason.CANCELLED.value, ran, detail=self.stage.value)
         self._owner.on_final(self, final)
 
     def _end(self) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_desk.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
-from operator import itemgetter
+from dataclasses import dataclass
+from operator import attrgetter
 from time import monotonic
 
 import structlog
@@ -38,6 +38,14 @@
 log = structlog.get_logger()
 
 
+@dataclass(eq=False, slots=True)
+class _Waiting:
+    """A request that waits for a loan; `done` is called with whether it has its token."""
+
+    priority: int
+    done: Callable[[bool], None]
+
+
 class _Account:
     """One organisation at this node."""
 
@@ -45,7 +53,7 @@
         self.share = share
         self.holders = names
         self.demand = TokenDemand()
-        self.waiting: deque[tuple[int, Callable[[bool], None]]] = deque()
+        self.waiting: list[_Waiting] = []
         self.dry_until = 0.0
         self.round = 0
         self.open_asks = 0
@@ -95,24 +103,35 @@
             account.holders = names
         log.info("allowances_divided", organisations=len(limited), nodes=len(known))
 
-    def acquire(self, organisation: str, priority: int, done: Callable[[bool], None]) -> None:
-        """Take one token for a request; `done` is called at once or after a loan."""
+    def acquire(
+        self, organisation: str, priority: int, done: Callable[[bool], None]
+    ) -> Callable[[], None] | None:
+        """Take one token for a request; `done` is called at once or after a loan.
+
+        Return a function that abandons the wait, or None where the request does not wait.
+        """
         account = self._account_by_name.get(organisation)
         if account is None:
             done(True)
-            return
+            return None
         now = monotonic()
         if not account.waiting and account.share.take(now, priority):
             account.demand.on_request(True, now)
             done(True)
-            return
+            return None
         if now < account.dry_until:
             account.demand.on_request(False, now)
             done(False)
-            return
-        account.waiting.append((priority, done))
+            return None
+        waiting = _Waiting(priority, done)
+        account.waiting.append(waiting)
         if len(account.waiting) == 1:
             self._ask(organisation, account, now)
+        return lambda: self._abandon(account, waiting)
+
+    def _abandon(self, account: _Account, waiting: _Waiting) -> None:
+        if waiting in account.waiting:
+            account.waiting.remove(waiting)
 
     def describe(self, organisation: str) -> str:
         """Return what decides on the organisation's requests at this node, for the log."""
@@ -165,13 +184,13 @@
 
     def _settle(self, account: _Account, now: float) -> None:
         account.round += 1
-        waiting, account.waiting = account.waiting, deque()
-        for priority, done in sorted(waiting, key=itemgetter(0)):
-            granted = account.share.take(now, priority)
+        waiting, account.waiting = account.waiting, []
+        for request in sorted(waiting, key=attrgetter("priority")):
+            granted = account.share.take(now, request.priority)
             if not granted:
                 account.dry_until = now + DRY_S
             account.demand.on_request(granted, now)
-            done(granted)
+            request.done(granted)
 
     def answer(self, payload: object, answer: Callable[[object], None]) -> None:
         """Lend tokens to another node; they are debited here first."""
