End the requests of a run that is given up

Callers saw nothing; requests that an endpoint had made for a request whose client had left went on at other endpoints, and further ones began, where the endpoint does not notice that its connection was closed.

Cause: a run knew the usage of its nested requests, not the requests themselves. Giving the run up closed its connection and left the rest to the endpoint. The own interface ends nested calls with their parent; the mesh did not.

Fix: a run keeps the open requests that it has made. When it ends without a result they are given up at once: their attempts are cancelled and the endpoint gets 502, which promises nothing. A request that names a run that was given up at this node, and that has no other run there, is refused with 503 before it reaches an endpoint.

Evidence: test_a_nested_request_goes_on_after_the_client_of_its_root_has_left (three ways to leave) and test_a_nested_request_begins_after_the_client_of_its_root_has_left failed before and pass; the second one fails again with the refusal alone taken out.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -70,6 +70,13 @@
         """Take a call that the entry node gives up."""
 
 
+class NestedCall(Protocol):
+    """A request that the run of a call has made."""
+
+    def abandon(self) -> None:
+        """Give the request up, because nobody waits for the run that made it."""
+
+
 class EndpointCall:
     """Relays one call to the endpoint; sink of its response and attempt for the entry node."""
 
@@ -97,6 +104,7 @@
         self._window = RelayWindow()
         self._nested_usage: UsageByService = {}
         self.nested_failed = False
+        self._open_nested: set[NestedCall] = set()
 
     @property
     def is_open(self) -> bool:
@@ -239,8 +247,13 @@
         else:
             sink.on_refusal(refusal, feedback)
 
-    def add_nested(self, usage: UsageByService, failed: bool) -> None:
-        """Take the usage of a call that the run of this call made."""
+    def begin_nested(self, nested: NestedCall) -> None:
+        """Take a call that the run of this call makes."""
+        self._open_nested.add(nested)
+
+    def end_nested(self, nested: NestedCall, usage: UsageByService, failed: bool) -> None:
+        """Take the end and the usage of a call that the run of this call made."""
+        self._open_nested.discard(nested)
         self._nested_usage = add_usage(self._nested_usage, usage)
         self.nested_failed = self.nested_failed or failed
 
@@ -262,7 +275,7 @@
             wait_s = started_at - self._queued_at
             usage = add_usage(usage, {self.context.service: Usage(1.0, target_s, wait_s)})
         self._owner.on_ended(self, completed)
-        return Feedback(
+        feedback = Feedback(
             unspent=0 if self.nested_failed else self.context.allowance.remaining,
             target_s=target_s,
             usage=tuple(
@@ -271,3 +284,7 @@
             ),
             load=self._owner.load(),
         )
+        if not completed:
+            for nested in list(self._open_nested):
+                nested.abandon()
+        return feedback
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -37,11 +37,15 @@
 
 from .endpoint_call import EndpointCall
 from .header_names import HeaderNames
+from .recent_ids import RecentIds
 from .request_log import RequestLog
 
 EXPIRY_INTERVAL_S = 0.02
 """Time in seconds between checks of the queue for requests that cannot finish in time."""
 
+GIVEN_UP_IDS = 1024
+"""Requests whose broken-off runs are remembered; a few seconds of them at one endpoint."""
+
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 """Time limits in seconds for a connection to the endpoint on the same host."""
@@ -73,6 +77,7 @@
         self._queue = EndpointQueue(1)
         self._call_by_id: dict[str, EndpointCall] = {}
         self._running_by_request_id: dict[bytes, EndpointCall] = {}
+        self._given_up = RecentIds(GIVEN_UP_IDS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._expiry: asyncio.TimerHandle | None = None
         self._probe: asyncio.Task[bool] | None = None
@@ -219,6 +224,10 @@
         """Return the call at the endpoint with a request id."""
         return self._running_by_request_id.get(request_id)
 
+    def is_given_up(self, request_id: bytes) -> bool:
+        """Whether the run of a request was broken off here and no other one goes on."""
+        return request_id in self._given_up and request_id not in self._running_by_request_id
+
     def connect(self, call: EndpointCall) -> None:
         """Open a connection for a call that was started."""
         self._spawn(self._connect(call))
@@ -250,6 +259,8 @@
         del self._call_by_id[call_id]
         if self._running_by_request_id.get(call.request_id) is call:
             del self._running_by_request_id[call.request_id]
+            if not completed:
+                self._given_up.add(call.request_id)
         now = monotonic()
         notices = self._ledger.finish(call_id, now, completed)
         if notices:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -164,6 +164,8 @@
         call = self._new_call(exchange, request_id, route, organisation, now)
         call.policy_version = policy.version
         self._open_calls += 1
+        if call.parent is not None:
+            call.parent.begin_nested(call)
         self._admit(call, now)
 
     def _new_call(
@@ -227,6 +229,9 @@
             # It could be cut off at the end; requests that run may still make calls.
             call.refuse(Refusal(Reason.DRAINING, Outcome.NOT_RUN, None, "the node stops"))
             return
+        if call.nested and self._serving.is_given_up(call.caller_id):
+            call.refuse_given_up()
+            return
         refusal = self._ledger.check(call.context, now, self._source)
         if refusal is not None:
             call.refuse(refusal)
@@ -315,7 +320,7 @@
             residence_s = monotonic() - call.started_at
             self._admission.learn(call.route.name, residence_s, final.usage)
         if call.parent is not None:
-            call.parent.add_nested(final.usage, failed=not 0 < final.status < 400)
+            call.parent.end_nested(call, final.usage, failed=not 0 < final.status < 400)
         self._request_log.on_final(call, final)
 
     def _refuse(self, exchange: Exchange, request_id: str, status: int, reason: Reason) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -44,6 +44,8 @@
 MIN_TRY_S = 0.02
 """Time in seconds that must be left for another attempt."""
 
+GIVEN_UP = Refusal(Reason.CANCELLED, detail="the run that made the request was given up")
+
 LOAD_FIELDS = 5
 
 RETRY_LATER_STATUS = frozenset({429, 503})
@@ -180,6 +182,11 @@
             return Stage.STREAMING
         return Stage.TOKEN if self.current is None else Stage.PLACED
 
+    @property
+    def caller_id(self) -> bytes:
+        """Id of the request whose run made this one, as its own id names it."""
+        return self.request_id.rpartition(".")[0].encode("latin-1")
+
     @property
     def parent_id(self) -> str | None:
         """Id of the request whose run made this one."""
@@ -358,6 +365,10 @@
         """Answer a request for which no attempt was made."""
         self._answer(STATUS_BY_REASON[refusal.reason], refusal, ran=False)
 
+    def refuse_given_up(self) -> None:
+        """Answer a request of a run that was given up before the request came."""
+        self._answer(503, GIVEN_UP, ran=False)
+
     def _answer(self, status: int, refusal: Refusal, ran: bool) -> None:
         self._end()
         if self._held is not None:
@@ -397,6 +408,17 @@
         final = FinalAnswer(0, Reason.CANCELLED.value, ran, detail=self.stage.value)
         self._owner.on_final(self, final)
 
+    def abandon(self) -> None:
+        """Answer at once; the run that made this request was given up."""
+        if self.is_done:
+            return
+        if self._attempt is not None:
+            self._attempt.cancel()
+        if self._streaming:
+            self.on_stream_failure(GIVEN_UP)
+            return
+        self._answer(502, GIVEN_UP, ran=True)
+
     def _end(self) -> None:
         self.is_done = True
         if self._timer is not None:
