Do not start a call whose cancellation has arrived with it

Callers saw nothing; a node that had stood still, or whose link was slow, started the calls of callers that had long left at its endpoint and cancelled each a moment later.

Cause: a link sent both the call and its cancellation where neither had been written yet, and handled the messages that it read together one by one. A call before the end of its link was started as well.

Fix: a call that is cancelled in the turn of the loop that made it is not sent. A call is not started where its cancellation was read with it, or where the peer has closed the link (PeerWatch, as for requests of callers).

--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -34,6 +34,7 @@
 from .link_message import unpack_headers
 from .link_message import unpack_refusal
 from .link_message import unpack_request
+from .peer_watch import PeerWatch
 
 WINDOW_BYTES = 256 * 1024
 """Bytes of one streamed body that may be on the way to the entry node."""
@@ -73,11 +74,12 @@
 class _OpenCall:
     """A call that was sent to the peer."""
 
-    __slots__ = ("_link", "_stream", "sink", "started")
+    __slots__ = ("_link", "_stream", "place", "sink", "started")
 
     def __init__(self, link: Link, stream: int, sink: AttemptSink) -> None:
         self._link = link
         self._stream = stream
+        self.place = (0, 0)
         self.sink = sink
         self.started = False
 
@@ -136,7 +138,10 @@
         self._loop = asyncio.get_running_loop()
         self._unpacker = new_unpacker()
         self._transport: asyncio.Transport | None = None
+        self._watch: PeerWatch | None = None
         self._pending: list[bytes] = []
+        self._turn = 0
+        self._withdrawn: frozenset[int] = frozenset()
         self._next_stream = 1
         self._open_by_stream: dict[int, _OpenCall] = {}
         self._peer_by_stream: dict[int, _PeerCall] = {}
@@ -164,6 +169,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        self._watch = PeerWatch(self._transport)
         self.send(self._owner.hello.to_wire())
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -178,7 +184,9 @@
         self._last_received = monotonic()
         try:
             self._unpacker.feed(data)
-            for message in self._unpacker:
+            messages = list(self._unpacker)
+            self._withdrawn = cancelled_streams(messages)
+            for message in messages:
                 self._receive(message)
         except (
             LinkError,
@@ -241,6 +249,9 @@
         context, request = unpack_request(message, monotonic())
         if stream in self._peer_by_stream:
             raise LinkError(f"stream {stream} is already open")
+        if stream in self._withdrawn or (self._watch is not None and self._watch.has_left):
+            # It was read late, and nobody waits for it any more.
+            return
         peer_call = _PeerCall(self, stream)
         self._peer_by_stream[stream] = peer_call
         attempt = self._owner.run(context, request, peer_call)
@@ -310,6 +321,7 @@
         call = _OpenCall(self, stream, sink)
         self._open_by_stream[stream] = call
         self.send(pack_request(stream, context, request, monotonic()))
+        call.place = (self._turn, len(self._pending) - 1)
         return call
 
     def ask(self, topic: str, payload: object, callback: Callable[[object], None]) -> None:
@@ -325,8 +337,15 @@
 
     def cancel_call(self, stream: int) -> None:
         """Give up on a call that was sent."""
-        if self._open_by_stream.pop(stream, None) is not None:
-            self.send(pack([Kind.CANCEL, stream]))
+        call = self._open_by_stream.pop(stream, None)
+        if call is None:
+            return
+        turn, index = call.place
+        if turn == self._turn:
+            # Not sent yet; the peer need not know.
+            self._pending[index] = b""
+            return
+        self.send(pack([Kind.CANCEL, stream]))
 
     def end_peer_call(self, stream: int) -> None:
         """Forget a call of the peer whose result is on its way."""
@@ -344,8 +363,10 @@
 
     def _flush(self) -> None:
         pending, self._pending = self._pending, []
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(b"".join(pending) if len(pending) > 1 else pending[0])
+        self._turn += 1
+        data = pending[0] if len(pending) == 1 else b"".join(pending)
+        if data and self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
 
     def check(self, now: float) -> None:
         """Probe a silent link that has open calls, and close it where no answer comes."""
@@ -387,3 +408,17 @@
                 peer_call.attempt.cancel()
         for callback in asked.values():
             callback(None)
+
+
+def cancelled_streams(messages: Sequence[object]) -> frozenset[int]:
+    """Return the streams that messages which were read together cancel."""
+    if len(messages) < 2:
+        return frozenset()
+    return frozenset(
+        message[1]
+        for message in messages
+        if isinstance(message, list)
+        and len(message) > 1
+        and message[0] == Kind.CANCEL
+        and isinstance(message[1], int)
+    )
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -208,6 +208,13 @@
         )
         self.assertEqual([b"kept"], [call.body for call in self.pair.server.calls])
 
+    async def test_call_that_is_read_after_its_link_was_closed_starts(self) -> None:
+        link = await self.pair.connect()
+        link.call(context(1), request(b"gone"), Sink())
+        link.close("the caller's node ends")
+        await self.pair.server.closed.wait()
+        self.assertEqual([], self.pair.server.calls)
+
     async def test_cancelled_call_gets_nothing_more(self) -> None:
         """A response that crosses a cancel must not reach a caller that has gone."""
         link = await self.pair.connect()
