End the calls of a link that its caller has given up as silent

Callers saw nothing. An entry node gives a link up after 0.75 s without an answer and sends its calls elsewhere; where the reset was lost with the rest, the node at the other end ran the first attempts until their deadlines, also when the clients had left long before.

Cause: only the end that sent calls looks after a link. The other end learns of a closed link from the network alone, and a silent network tells nothing. Closing it there after a silence would cut off the callers of a node that only stood still, and lose answers that are ready.

Fix: the entry node, which gave the calls up, opens the link anew at once and again each 0.25 s for 10 s. A node that accepts a link from a peer ends that peer's former one if nothing came over it for 0.25 s, and with it its calls. Those who need a link at the same moment share one attempt to open it, so that two links never compete; the condition on silence covers earlier releases, which may open two.

Evidence: test_calls_of_a_link_that_went_silent_go_on_at_the_peer and test_calls_and_questions_at_the_same_moment_open_two_links failed before and pass. test_calls_of_a_new_link_are_lost_with_the_old_one guards the other side.

--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -131,10 +131,14 @@
 
 
 class Link(asyncio.Protocol):
-    """One end of a link; both ends may send calls and questions."""
+    """One end of a link; both ends may send calls and questions.
 
-    def __init__(self, owner: LinkOwner) -> None:
+    `is_accepted` says that the peer has opened it.
+    """
+
+    def __init__(self, owner: LinkOwner, is_accepted: bool = False) -> None:
         self._owner = owner
+        self.is_accepted = is_accepted
         self._loop = asyncio.get_running_loop()
         self._unpacker = new_unpacker()
         self._transport: asyncio.Transport | None = None
@@ -161,6 +165,16 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def silent_s(self) -> float:
+        """Time in seconds since something was received."""
+        return monotonic() - self._last_received
+
+    @property
+    def has_sent_calls(self) -> bool:
+        """Whether calls that were sent to the peer are open."""
+        return bool(self._open_by_stream)
+
     @property
     def is_busy(self) -> bool:
         """Whether calls are open in either direction."""
@@ -368,18 +382,20 @@
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def check(self, now: float) -> None:
-        """Probe a silent link that has open calls, and close it where no answer comes."""
+    def check(self, now: float) -> bool:
+        """Probe a silent link that has open calls; return whether it was closed for its silence."""
         if self._ping_sent is not None:
             if now - self._ping_sent > PONG_TIMEOUT_S and self._last_received < self._ping_sent:
                 self.close("no answer to a ping", abort=True)
-            elif self._last_received >= self._ping_sent:
+                return True
+            if self._last_received >= self._ping_sent:
                 self._ping_sent = None
-            return
+            return False
         waiting = self._open_by_stream or self._asked_by_stream
         if waiting and now - self._last_received > SILENCE_S:
             self._ping_sent = now
             self.send(pack([Kind.PING, 0]))
+        return False
 
     def close(self, reason: str, abort: bool = False) -> None:
         """Close the link; open calls end with outcome unknown."""
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -20,6 +20,7 @@
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.link import SILENCE_S
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
@@ -27,6 +28,12 @@
 CONNECT_TIMEOUT_S = 0.25
 """A connection takes about 1 ms; a longer wait costs a call more than another node would."""
 
+REOPEN_INTERVAL_S = 0.25
+"""Time in seconds between attempts to open a link anew; a CONNECT_TIMEOUT_S between them."""
+
+REOPEN_LIMIT_S = 10.0
+"""Time in seconds after which a link is not opened anew; the deadlines of its calls have passed."""
+
 CHECK_INTERVAL_S = 0.1
 LISTEN_BACKLOG = 1024
 
@@ -81,6 +88,8 @@
         self._server: asyncio.Server | None = None
         self._link_by_node: dict[str, Link] = {}
         self._opening_by_node: dict[str, list[_Connecting]] = {}
+        self._connection_by_node: dict[str, asyncio.Task[Link | None]] = {}
+        self._reopening: set[str] = set()
         self._accepted: set[Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.TimerHandle | None = None
@@ -96,16 +105,37 @@
     async def start(self, address: Address) -> None:
         """Listen for links and start the liveness checks."""
         self._server = await self._loop.create_server(
-            lambda: Link(self), address.host, address.port, backlog=LISTEN_BACKLOG
+            lambda: Link(self, is_accepted=True),
+            address.host,
+            address.port,
+            backlog=LISTEN_BACKLOG,
         )
         self._check()
 
     def _check(self) -> None:
         now = monotonic()
         for link in [*self._link_by_node.values(), *self._accepted]:
-            link.check(now)
+            has_sent_calls = link.has_sent_calls
+            if link.check(now) and has_sent_calls and link.peer is not None:
+                self._reopen_soon(link.peer.node)
         self._ticker = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
+    def _reopen_soon(self, node: str) -> None:
+        if node not in self._reopening:
+            self._reopening.add(node)
+            self._spawn(self._reopen(node))
+
+    async def _reopen(self, node: str) -> None:
+        """Open a link anew, so that the peer ends the calls of the one that was given up."""
+        gives_up_at = monotonic() + REOPEN_LIMIT_S
+        try:
+            while node in self.peers_by_node and monotonic() < gives_up_at:
+                if await self._connect(node) is not None:
+                    return
+                await asyncio.sleep(REOPEN_INTERVAL_S)
+        finally:
+            self._reopening.discard(node)
+
     def send(
         self, node: str, context: CallContext, request: HttpRequest, sink: AttemptSink
     ) -> Attempt | None:
@@ -169,9 +199,21 @@
             call.sink.on_refusal(refusal, Feedback(call.context.allowance.remaining))
 
     async def _connect(self, node: str) -> Link | None:
+        """Return the link to a node; those who ask at the same time share one attempt to open it.
+
+        The peer takes a second link for the replacement of the first.
+        """
         existing = self._link_by_node.get(node)
         if existing is not None and existing.is_open:
             return existing
+        connection = self._connection_by_node.get(node)
+        if connection is None:
+            connection = self._loop.create_task(self._connect_anew(node))
+            self._connection_by_node[node] = connection
+            connection.add_done_callback(lambda _: self._connection_by_node.pop(node, None))
+        return await asyncio.shield(connection)
+
+    async def _connect_anew(self, node: str) -> Link | None:
         peer = self.peers_by_node.get(node)
         if peer is None:
             return None
@@ -192,10 +234,6 @@
         if link.peer is None or link.peer.node != node:
             link.close("the peer is another node")
             return None
-        current = self._link_by_node.get(node)
-        if current is not None and current.is_open:
-            link.close("a link to this node is open already")
-            return current
         self._link_by_node[node] = link
         self._accepted.discard(link)
         return link
@@ -205,7 +243,14 @@
         return self._serving.run(context, request, sink)
 
     def on_link_open(self, link: Link) -> None:
-        """Keep a link whose handshake is complete."""
+        """Keep a link whose handshake is complete; end those that it replaces.
+
+        A peer opens another link only after it has given up the former one, which may not have
+        reached this node.
+        """
+        for other in list(self._accepted):
+            if is_replaced(other, link):
+                other.close("the peer has opened another link", abort=True)
         self._accepted.add(link)
 
     def on_link_drain(self, link: Link) -> None:
@@ -252,8 +297,18 @@
             self._ticker.cancel()
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
+        for task in [*self._tasks, *self._connection_by_node.values()]:
             task.cancel()
         for link in [*self._link_by_node.values(), *self._accepted]:
             link.close("the node stops")
         await asyncio.sleep(0)
+
+
+def is_replaced(link: Link, by: Link) -> bool:
+    """Whether a peer has given a link up for another one.
+
+    Earlier releases may open two links at the same moment and keep either.
+    """
+    if link.peer is None or by.peer is None or link.peer.node != by.peer.node:
+        return False
+    return link.is_accepted and by.is_accepted and link.silent_s > SILENCE_S
--- a/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
+++ b/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -23,6 +24,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link import PONG_TIMEOUT_S
 from pollenglade_net.link import SILENCE_S
+from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
 from pollenglade_node.membership.links import CHECK_INTERVAL_S
@@ -146,8 +148,16 @@
     async def test_calls_and_questions_at_the_same_moment_open_two_links(self) -> None:
         """The peer would take one of them for the replacement of the other."""
         answers: list[object] = []
+        opened: list[Link] = []
+        keep = self.serving.on_link_open
+
+        def on_link_open(link: Link) -> None:
+            opened.append(link)
+            keep(link)
+
+        self.enterContext(unittest.mock.patch.object(self.serving, "on_link_open", on_link_open))
         for number in range(5):
             self._send(f"c{number}")
             self.entry.ask_node("serving", "unknown", None, answers.append)
         await eventually(lambda: len(self.runner.calls) == 5 and len(answers) == 5)
-        self.assertEqual(self.relay.open_connections, 1)
+        self.assertEqual(len(opened), 1)
