Release the claim of a call whose caller left before it was sent

On the own interface a call that is not idempotent ran for a caller that had left while its claim was being written, and its outcome was not recorded: a repeat with the same key was told "unknown" until the deadline.

Cause: leaving closes the call, but the claim goes on, and when it is written the call is sent whatever became of it. A closed call then ignores its result.

Fix: a call that is not open any more is not sent. Nothing has run, so its claim is released, and a repeat may run. A call that was sent goes on as before, so that a repeat finds its outcome on record.

--- a/packages/pollenglade-node/src/pollenglade_node/claim_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/claim_service.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from pollenglade_core.calls.outcome import Outcome
+from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.claims.claim_messages import Answer
 from pollenglade_core.claims.claim_messages import AnswerLost
@@ -221,6 +222,10 @@
             self._service.forget(self._name)
 
     def _send(self) -> None:
+        if not self._call.is_open:
+            detail = "the caller left before the call was sent"
+            self._handle(TargetNotRun(Refusal(Reason.CANCELLED, detail=detail)))
+            return
         if not self._machine.permit_send(monotonic()):
             self._handle(DeadlinePassed())
             return
--- /dev/null
+++ b/packages/pollenglade-node/tests/test_node/test_claim_service.py
@@ -0,0 +1,105 @@
+"""Guards against claimed calls that are sent for callers that have left."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from time import monotonic
+from typing import Any
+from typing import cast
+
+from pollenglade_core.calls.call import CallContext
+from pollenglade_core.calls.importance import Importance
+from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_net.platform_api import ReadResult
+from pollenglade_net.platform_api import Row
+from pollenglade_net.platform_api import Unavailable
+from pollenglade_net.platform_api import WriteResult
+from pollenglade_net.platform_api import Written
+from pollenglade_node.claim_service import ClaimService
+from pollenglade_node.entry.entry_call import EntryCall
+
+WAIT_S = 2.0
+
+
+class SlowTable:
+    """A table whose writes wait until the test lets them through."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.states: list[str] = []
+
+    async def read(self, name: str) -> ReadResult:
+        raise AssertionError("no answer of these tests is lost")
+
+    async def write(
+        self, name: str, value: Any, expected_version: int, operation_id: str
+    ) -> WriteResult:
+        await self.open.wait()
+        self.states.append(value["state"])
+        return Written(len(self.states))
+
+    async def read_prefix(self, prefix: str) -> tuple[Row, ...] | Unavailable:
+        raise AssertionError("claims are read one by one")
+
+
+class WaitingCall:
+    """Stand-in of a call whose caller may leave before its claim is written."""
+
+    def __init__(self) -> None:
+        self.context = CallContext(
+            "c1", "acme", "p", "fees", Importance.NORMAL, monotonic() + 5.0, RetryAllowance(0)
+        )
+        self.is_open = True
+        self.keeps_running = False
+        self.on_result: object = None
+        self.runs = 0
+
+    def run(self) -> None:
+        self.runs += 1
+
+    def finish_refused(self, refusal: Refusal) -> None:
+        self.is_open = False
+
+
+class NobodyToAsk:
+    """Asker of tests with one node."""
+
+    def ask_node(self, node: str, topic: str, payload: object, callback: object) -> None:
+        raise AssertionError("no other node owns a claim of these tests")
+
+
+class ClaimServiceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.table = SlowTable()
+        self.service = ClaimService(
+            "n1/1", self.table, lambda process: True, NobodyToAsk(), random.Random(1)
+        )
+        self.addAsyncCleanup(self.service.close)
+
+    async def _settled(self) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while self.service.is_busy:
+                await asyncio.sleep(0.01)
+
+    async def test_a_call_is_sent_after_its_caller_left_during_the_claim(self) -> None:
+        """Nothing has run, so the claim must be free for a repeat of the caller."""
+        call = WaitingCall()
+        self.service.begin(cast(EntryCall, call), b"key")
+        await asyncio.sleep(0)
+        call.is_open = False
+        self.table.open.set()
+        await self._settled()
+        self.assertEqual(0, call.runs)
+        self.assertEqual(["claimed", "released"], self.table.states)
+
+    async def test_a_call_whose_caller_waits_is_not_sent(self) -> None:
+        call = WaitingCall()
+        self.service.begin(cast(EntryCall, call), b"key")
+        self.table.open.set()
+        async with asyncio.timeout(WAIT_S):
+            while not call.runs:
+                await asyncio.sleep(0.01)
+        self.assertTrue(call.keeps_running)
