Give up the call of a caller that closes its connection to the own interface

A target of the product's own interface worked on, up to the deadline, for a caller that had closed its connection.

Cause: the node took every end of a stream for a caller that closes its sending side and waits. A closed connection looks the same until a write fails, so only a reset was noticed.

Fix: the own interface takes the end of a stream for a caller that has left, as the mesh does; docs/design.md says so. Claimed calls that were sent go on.

Evidence: test_a_target_works_on_after_its_caller_has_left failed before for closed and half closed, with separate processes, and passes; test_a_claimed_call_is_cut_off_when_its_caller_leaves passes before and after.

--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -36,6 +36,7 @@
 from pollenglade_net.configuration_store import ConfigurationStore
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_server import HttpServer
+from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import Hello
 from pollenglade_net.platform_client import PlatformClient
 
@@ -173,7 +174,7 @@
             self.entry,
             self.configuration,
         )
-        self._caller_server = HttpServer(self.entry.handle)
+        self._caller_server = HttpServer(self.entry.handle, ServerLimits(cancel_on_eof=True))
         self._control = ControlApi()
         self._control_server = HttpServer(async_handler(self._control.handle))
         self._connect_parts()
