Read on from a target's connection when a paused response has ended

Callers got 504: the request behind a large answer waited until its deadline and was never answered, though its endpoint had answered at once. The endpoint had worked for nobody.

Cause: the window of a streamed answer pauses reading from the endpoint. Where the last bytes of the answer were read before the pause, the answer ended with its connection paused, and the connection went back to the pool. The credit that would have resumed it is for a call that has ended. The pause outlived the answer for which it was made.

Fix: a connection reads on before it goes back to the pool.

--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -79,6 +79,7 @@
         self._tag_field = b""
         self._earlier_tags: deque[bytes] = deque(maxlen=EARLIER_TAGS)
         self._discarding = False
+        self._paused = False
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
 
@@ -232,6 +233,8 @@
             and self.is_open
         )
         if reusable:
+            # The response may have ended while its receiver had paused it.
+            self.resume()
             self._h11.start_next_cycle()
             self._pool.give_back(self)
         else:
@@ -259,12 +262,14 @@
 
     def pause(self) -> None:
         """Stop reading from the server until `resume`."""
-        if self._transport is not None:
+        if self._transport is not None and not self._paused:
+            self._paused = True
             self._transport.pause_reading()
 
     def resume(self) -> None:
         """Continue reading from the server."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._paused and self._transport is not None and not self._transport.is_closing():
+            self._paused = False
             self._transport.resume_reading()
 
     def _stop_timer(self) -> None:
