Make sure that a cancellation reaches the far end of a link

Callers saw nothing; an endpoint worked on for a client that had left where the link to its node went silent at about the same time.

Cause: after a cancellation nothing is awaited on the link, so nobody asked whether it still works. It was found silent only with the next call or exchange of states, and opened anew only if calls were open.

Fix: a link with a cancellation that no later ping has confirmed counts as one on which something is awaited. A link that is closed for its silence is always opened anew, upon which the peer ends what runs for the former one.

Evidence: test_a_cancellation_on_a_silent_link_is_lost failed before and passes.

--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -152,6 +152,8 @@
         self._asked_by_stream: dict[int, Callable[[object], None]] = {}
         self._last_received = monotonic()
         self._ping_sent: float | None = None
+        self._pinged_at = 0.0
+        self._cancelled_at: float | None = None
         self.peer: Hello | None = None
         self.ready: asyncio.Future[None] = self._loop.create_future()
         self.peer_draining = False
@@ -170,11 +172,6 @@
         """Time in seconds since something was received."""
         return monotonic() - self._last_received
 
-    @property
-    def has_sent_calls(self) -> bool:
-        """Whether calls that were sent to the peer are open."""
-        return bool(self._open_by_stream)
-
     @property
     def is_busy(self) -> bool:
         """Whether calls are open in either direction."""
@@ -256,6 +253,9 @@
             self.send(pack([Kind.PONG, stream]))
         elif kind == Kind.PONG:
             self._ping_sent = None
+            if self._cancelled_at is not None and self._cancelled_at < self._pinged_at:
+                # Messages arrive in order, so the peer has the cancellations before the ping.
+                self._cancelled_at = None
         else:
             self._receive_question(kind, stream, message)
 
@@ -359,6 +359,7 @@
             # Not sent yet; the peer need not know.
             self._pending[index] = b""
             return
+        self._cancelled_at = monotonic()
         self.send(pack([Kind.CANCEL, stream]))
 
     def end_peer_call(self, stream: int) -> None:
@@ -383,7 +384,10 @@
             self._transport.write(data)
 
     def check(self, now: float) -> bool:
-        """Probe a silent link that has open calls; return whether it was closed for its silence."""
+        """Probe a silent link on which something is awaited.
+
+        Return whether it was closed because no answer came.
+        """
         if self._ping_sent is not None:
             if now - self._ping_sent > PONG_TIMEOUT_S and self._last_received < self._ping_sent:
                 self.close("no answer to a ping", abort=True)
@@ -391,9 +395,9 @@
             if self._last_received >= self._ping_sent:
                 self._ping_sent = None
             return False
-        waiting = self._open_by_stream or self._asked_by_stream
+        waiting = self._open_by_stream or self._asked_by_stream or self._cancelled_at is not None
         if waiting and now - self._last_received > SILENCE_S:
-            self._ping_sent = now
+            self._ping_sent = self._pinged_at = now
             self.send(pack([Kind.PING, 0]))
         return False
 
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -115,8 +115,7 @@
     def _check(self) -> None:
         now = monotonic()
         for link in [*self._link_by_node.values(), *self._accepted]:
-            has_sent_calls = link.has_sent_calls
-            if link.check(now) and has_sent_calls and link.peer is not None:
+            if link.check(now) and link.peer is not None:
                 self._reopen_soon(link.peer.node)
         self._ticker = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
--- a/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
+++ b/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
@@ -134,6 +134,15 @@
         await eventually(lambda: sink.refusal is not None)
         await eventually(lambda: self.runner.calls[0].cancelled, GIVEN_UP_WITHIN_S)
 
+    async def test_a_cancellation_on_a_silent_link_is_lost(self) -> None:
+        """No call is open any more, and nothing else asks whether the link still works."""
+        attempt = self.entry.send("serving", context("a"), HttpRequest("GET", b"/", []), Sink())
+        await eventually(lambda: len(self.runner.calls) == 1)
+        self.relay.apply(Conduct(Mode.SILENT), only_open=True)
+        assert attempt is not None
+        attempt.cancel()
+        await eventually(lambda: self.runner.calls[0].cancelled, GIVEN_UP_WITHIN_S)
+
     async def test_calls_of_a_new_link_are_lost_with_the_old_one(self) -> None:
         first = self._send("a")
         await eventually(lambda: len(self.runner.calls) == 1)
