Answer a nested request that waits for a token only once when its run is given up

A nested request with a key that waited for a token when its run was given up got 502 and later a second end: the node counted -1 open requests, and with a token it would have been sent for nobody.

Fix: both ways to give a request up release the same things, the wait and the attempt. A token that is granted to a request that is done goes back.

Evidence: test_a_nested_wait_for_a_token_goes_on_after_its_run_was_given_up failed before ((-1, 3) != (0, 3)) and passes.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -268,6 +268,10 @@
         return Refusal(Reason.OVERLOADED, Outcome.NOT_RUN, refusal.retry_after_s, str(refusal))
 
     def _on_token(self, call: MeshCall, granted: bool) -> None:
+        if call.is_done:
+            if granted and call.organisation is not None:
+                self._tokens.give_back(call.organisation.name)
+            return
         if granted:
             call.has_token = True
             self._start_if_room(call)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -400,10 +400,7 @@
         if self.is_done:
             return
         self._end()
-        if self.abandon_wait is not None:
-            self.abandon_wait()
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._release()
         ran = self.stage is not Stage.TOKEN
         final = FinalAnswer(0, Reason.CANCELLED.value, ran, detail=self.stage.value)
         self._owner.on_final(self, final)
@@ -412,13 +409,19 @@
         """Answer at once; the run that made this request was given up."""
         if self.is_done:
             return
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._release()
         if self._streaming:
             self.on_stream_failure(GIVEN_UP)
             return
         self._answer(502, GIVEN_UP, ran=True)
 
+    def _release(self) -> None:
+        """Give up whatever works or waits for this request."""
+        if self.abandon_wait is not None:
+            self.abandon_wait()
+        if self._attempt is not None:
+            self._attempt.cancel()
+
     def _end(self) -> None:
         self.is_done = True
         if self._timer is not None:
