--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from time import monotonic
 from typing import cast
 
@@ -13,8 +12,6 @@
 
 from .exchange import Exchange
 from .http_message import END_OF_MESSAGE
-from .http_message import MAX_BODY_BYTES
-from .http_message import MAX_HEAD_BYTES
 from .http_message import Headers
 from .http_message import HttpRequest
 from .http_message import encode_fields
@@ -22,6 +19,7 @@
 from .http_message import status_line
 from .http_message import valid_headers
 from .peer_watch import PeerWatch
+from .server_limits import ServerLimits
 
 PIPELINE_LIMIT_BYTES = 64 * 1024
 """Bytes of pipelined requests that are buffered before reading pauses."""
@@ -44,21 +42,6 @@
 """Time in seconds between looks for connections whose time is up."""
 
 
-@dataclass(slots=True)
-class ServerLimits:
-    """Bounds on what a caller may send and how long it may take, in bytes and seconds.
-
-    A time of None is not limited. `cancel_on_eof` says that a caller which closes its sending side
-    does not wait for its response.
-    """
-
-    head_bytes: int = MAX_HEAD_BYTES
-    body_bytes: int = MAX_BODY_BYTES
-    head_timeout_s: float | None = None
-    idle_timeout_s: float | None = None
-    cancel_on_eof: bool = False
-
-
 Handler = Callable[[Exchange], None]
 
 
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -18,18 +18,16 @@
 
 from .attempt import Attempt
 from .attempt import AttemptSink
-from .http_message import Headers
 from .http_message import HttpRequest
+from .link_call import OpenCall
+from .link_call import PeerCall
 from .link_message import Feedback
 from .link_message import Hello
 from .link_message import Kind
 from .link_message import LinkError
 from .link_message import new_unpacker
 from .link_message import pack
-from .link_message import pack_body
-from .link_message import pack_refusal
 from .link_message import pack_request
-from .link_message import pack_response
 from .link_message import unpack_feedback
 from .link_message import unpack_headers
 from .link_message import unpack_refusal
@@ -71,65 +69,6 @@
         """Take a link that is closed."""
 
 
-class _OpenCall:
-    """A call that was sent to the peer."""
-
-    __slots__ = ("_link", "_stream", "place", "sink", "started")
-
-    def __init__(self, link: Link, stream: int, sink: AttemptSink) -> None:
-        self._link = link
-        self._stream = stream
-        self.place = (0, 0)
-        self.sink = sink
-        self.started = False
-
-    def cancel(self) -> None:
-        self._link.cancel_call(self._stream)
-
-    def credit(self, count: int) -> None:
-        self._link.send(pack([Kind.WINDOW, self._stream, count]))
-
-
-class _PeerCall:
-    """A call that the peer sent; encodes its result."""
-
-    __slots__ = ("_link", "_outstanding", "_stream", "attempt")
-
-    def __init__(self, link: Link, stream: int) -> None:
-        self._link = link
-        self._stream = stream
-        self._outstanding = 0
-        self.attempt: Attempt | None = None
-
-    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
-        self._link.end_peer_call(self._stream)
-        self._link.send(pack_response(self._stream, status, headers, body, True, feedback))
-
-    def on_head(self, status: int, headers: Headers) -> None:
-        self._link.send(pack_response(self._stream, status, headers, b"", False, Feedback()))
-
-    def on_data(self, data: bytes) -> None:
-        self._outstanding += len(data)
-        self._link.send(pack_body(self._stream, data, False, Feedback()))
-
-    def on_end(self, feedback: Feedback) -> None:
-        self._link.end_peer_call(self._stream)
-        self._link.send(pack_body(self._stream, b"", True, feedback))
-
-    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
-        self._link.end_peer_call(self._stream)
-        self._link.send(pack_refusal(Kind.REFUSED, self._stream, refusal, feedback))
-
-    def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
-        self._link.end_peer_call(self._stream)
-        self._link.send(pack_refusal(Kind.FAILED, self._stream, refusal, feedback))
-
-    def credit(self, count: int) -> None:
-        self._outstanding -= count
-        if self.attempt is not None:
-            self.attempt.credit(count)
-
-
 class Link(asyncio.Protocol):
     """One end of a link; both ends may send calls and questions.
 
@@ -147,8 +86,8 @@
         self._turn = 0
         self._withdrawn: frozenset[int] = frozenset()
         self._next_stream = 1
-        self._open_by_stream: dict[int, _OpenCall] = {}
-        self._peer_by_stream: dict[int, _PeerCall] = {}
+        self._open_by_stream: dict[int, OpenCall] = {}
+        self._peer_by_stream: dict[int, PeerCall] = {}
         self._asked_by_stream: dict[int, Callable[[object], None]] = {}
         self._last_received = monotonic()
         self._ping_sent: float | None = None
@@ -271,7 +210,7 @@
         if stream in self._withdrawn or (self._watch is not None and self._watch.has_left):
             # It was read late, and nobody waits for it any more.
             return
-        peer_call = _PeerCall(self, stream)
+        peer_call = PeerCall(self, stream)
         self._peer_by_stream[stream] = peer_call
         attempt = self._owner.run(context, request, peer_call)
         peer_call.attempt = attempt
@@ -337,7 +276,7 @@
     def call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
         """Send a call; the link must be open."""
         stream = self._take_stream()
-        call = _OpenCall(self, stream, sink)
+        call = OpenCall(self, stream, sink)
         self._open_by_stream[stream] = call
         self.send(pack_request(stream, context, request, monotonic()))
         call.place = (self._turn, len(self._pending) - 1)
--- a/packages/pollenglade-net/tests/test_net/test_departures.py
+++ b/packages/pollenglade-net/tests/test_net/test_departures.py
@@ -18,7 +18,7 @@
 from pollenglade_net import http_server
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import ServerLimits
+from pollenglade_net.server_limits import ServerLimits
 
 NOTICED_WITHIN_S = 0.5
 """Time in seconds after a caller has left within which its work must have ended."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -31,12 +31,12 @@
 from pollenglade_net.http_message import end_to_end_headers
 
 from ..membership.links import Links
+from .attempt_result import AttemptResult
 from .endpoint_serving import EndpointServing
 from .final_answer import FinalAnswer
 from .header_names import HeaderNames
 from .mesh_call import RETRY_AFTER_S
 from .mesh_call import RETRY_LATER_STATUS
-from .mesh_call import AttemptResult
 from .mesh_call import MeshCall
 from .request_log import RequestLog
 from .token_desk import TokenDesk
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -15,7 +15,6 @@
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.dispatch.peer_view import FAILED_S
-from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.policy.traffic_policy import Organisation
@@ -26,6 +25,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link_message import Feedback
 
+from .attempt_result import AttemptResult
 from .endpoint_call import EndpointCall
 from .final_answer import SERVED
 from .final_answer import FinalAnswer
@@ -46,7 +46,6 @@
 
 GIVEN_UP = Refusal(Reason.CANCELLED, detail="the run that made the request was given up")
 
-LOAD_FIELDS = 5
 
 RETRY_LATER_STATUS = frozenset({429, 503})
 
@@ -72,55 +71,6 @@
         """Take the end of a call for quota, learning and log."""
 
 
-class AttemptResult:
-    """Sink of one attempt; a result of an attempt that was given up has no effect."""
-
-    __slots__ = ("_call", "peer")
-
-    def __init__(self, call: MeshCall, peer: Peer) -> None:
-        self._call = call
-        self.peer = peer
-
-    def _is_current(self) -> bool:
-        return self._call.current is self and not self._call.is_done
-
-    def on_response(self, status: int, headers: Headers, body: bytes, feedback: Feedback) -> None:
-        self._note(feedback)
-        if self._is_current():
-            self._call.on_response(status, headers, body, feedback)
-
-    def on_head(self, status: int, headers: Headers) -> None:
-        if self._is_current():
-            self._call.on_head(status, headers)
-
-    def on_data(self, data: bytes) -> None:
-        if self._is_current():
-            self._call.on_data(data)
-
-    def on_end(self, feedback: Feedback) -> None:
-        self._note(feedback)
-        if self._is_current():
-            self._call.on_end(feedback)
-
-    def on_refusal(self, refusal: Refusal, feedback: Feedback) -> None:
-        self._note(feedback)
-        if self._is_current():
-            self._call.on_refusal(refusal, feedback)
-
-    def on_failure(self, refusal: Refusal, feedback: Feedback) -> None:
-        self._note(feedback)
-        if self._is_current():
-            self._call.on_stream_failure(refusal)
-
-    def _note(self, feedback: Feedback) -> None:
-        if len(feedback.load) >= LOAD_FIELDS:
-            running, waiting, limit, expected_s, failure_rate = feedback.load[:LOAD_FIELDS]
-            load = EndpointLoad(
-                int(running), int(waiting), max(1, int(limit)), expected_s, failure_rate
-            )
-            self.peer.report(load, monotonic())
-
-
 class MeshCall:
     """Tries endpoints in turn until one answers, the request may not be repeated, or time is up."""
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -18,9 +18,9 @@
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import MAX_BODY_BYTES
 from pollenglade_net.link_message import Hello
+from pollenglade_net.server_limits import ServerLimits
 
 from ..membership.links import Links
 from ..serving.crash_notices import CRASH_TOPIC
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -36,9 +36,9 @@
 from pollenglade_net.configuration_store import ConfigurationStore
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import ServerLimits
 from pollenglade_net.link_message import Hello
 from pollenglade_net.platform_client import PlatformClient
+from pollenglade_net.server_limits import ServerLimits
 
 from .claim_service import CLAIM_TOPIC
 from .claim_service import ClaimService
