Let calls that wait when a probe begins wait as long as later ones

Callers of important calls got 503 with queue-delay now and then although the target had room for all of them.

Cause: a probe lowers the limit to a quarter for 0.2 to 0.3 s. Calls that arrive during it may wait 0.4 s, those that were in the queue when it began kept their bound of 0.1 s.

Fix: when a probe begins, the waiting calls above the least importance get the bound of those that arrive during it, and never more than leaves them their time at the target.

--- a/packages/pollenglade-core/src/pollenglade_core/admission/admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/admission.py
@@ -25,7 +25,7 @@
 """Shortest bound under a standing queue; it still absorbs a burst of arrivals."""
 
 PROBE_QUEUE_DELAY_S = 0.4
-"""Longest time in the queue for a call that arrives while the limit is lowered for a probe; a probe
+"""Longest time in the queue for a call that waits while the limit is lowered for a probe; a probe
 takes 0.2 to 0.3 s where calls take up to 0.1 s."""
 
 STANDING_S = 0.5
@@ -128,7 +128,10 @@
         kind = self._kind_by_running.get(call_id)
         if kind is None:
             return []
+        was_probing = self._limit.is_probing
         self._limit.on_finish(now, latency_s, len(self._kind_by_running), ok, kind)
+        if self._limit.is_probing and not was_probing:
+            self._queue.change_expiry(self._expiry_in_probe)
         self._service_time.add(now, latency_s, ok)
         del self._kind_by_running[call_id]
         return self._advance(now)
@@ -162,7 +165,7 @@
         reason = Reason.QUEUE_DELAY
         if latest_start < expires_at:
             expires_at, reason = latest_start, Reason.DEADLINE
-        self._queue.push(Waiting(call, now, expires_at, reason))
+        self._queue.push(Waiting(call, now, latest_start, expires_at, reason))
 
     def _queue_delay_s(self, call: CallContext, now: float) -> float:
         """Return the bound for a new call, shorter the longer its organisation has waited.
@@ -178,6 +181,13 @@
             return QUEUE_DELAY_S
         return max(MIN_QUEUE_DELAY_S, QUEUE_DELAY_S * sqrt(STANDING_S / (now - since)))
 
+    def _expiry_in_probe(self, waiting: Waiting) -> float:
+        """Return when a call expires that was in the queue before the probe began."""
+        if waiting.call.importance == min(Importance) or waiting.reason is Reason.DEADLINE:
+            return waiting.expires_at
+        expires_at = waiting.queued_at + PROBE_QUEUE_DELAY_S
+        return min(max(waiting.expires_at, expires_at), waiting.latest_start)
+
     def _expired(self, now: float) -> list[Action]:
         actions: list[Action] = []
         while (waiting := self._queue.pop_expired(now)) is not None:
--- a/packages/pollenglade-core/src/pollenglade_core/admission/fair_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/fair_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from heapq import heapify
@@ -28,10 +29,14 @@
 
 @dataclass(slots=True)
 class Waiting:
-    """A call in the queue; it is refused for `reason` once `expires_at` has passed."""
+    """A call in the queue; it is refused for `reason` once `expires_at` has passed.
+
+    `latest_start` is when it must run so that it ends before its deadline.
+    """
 
     call: CallContext
     queued_at: float
+    latest_start: float
     expires_at: float
     reason: Reason
     waits: bool = True
@@ -185,6 +190,15 @@
             self._expiries = [entry for entry in self._expiries if entry[2].waits]
             heapify(self._expiries)
 
+    def change_expiry(self, expires_at: Callable[[Waiting], float]) -> None:
+        """Give every waiting call a new time at which it expires."""
+        self._expiries.clear()
+        for waiting in self._by_id.values():
+            waiting.expires_at = expires_at(waiting)
+            self._serial += 1
+            self._expiries.append((waiting.expires_at, self._serial, waiting))
+        heapify(self._expiries)
+
     def pop(self) -> CallContext | None:
         """Remove and return the call that runs next."""
         for lane in reversed(self._lanes):
--- a/packages/pollenglade-core/tests/test_core/test_admission/test_probe.py
+++ b/packages/pollenglade-core/tests/test_core/test_admission/test_probe.py
@@ -86,5 +86,7 @@
                 self.assertGreater(results[Importance.SHEDDABLE, "refused"], 5_000)
 
     def test_calls_that_fit_are_not_refused_in_a_case_that_failed(self) -> None:
-        """Guards against the same fault with the values of another run: one call was refused."""
-        self.assertEqual(0, play(20)[Importance.CRITICAL, "refused"])
+        """A call that waits when a probe begins needs the longer bound as well."""
+        for seed in (20, 28, 83):
+            with self.subTest(seed=seed):
+                self.assertEqual(0, play(seed)[Importance.CRITICAL, "refused"])
