Record the rate limit that an endpoint names in its responses

Change: a response that echoes the id of its request, from the endpoint that the request was sent to, updates the rate limit in the endpoint's record. A change is logged as endpoint_rate_limit with the requests sent so far; a gauge has the limit and a counter the requests sent to the endpoint. No decision reads it yet.

--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from .endpoint_statement import UNKNOWN_INCARNATION
+from .endpoint_statement import Departure
+from .endpoint_statement import EndpointIdentity
+from .endpoint_statement import EndpointStatement
+from .endpoint_statement import RateLimitStatement
+
 
 class LocalEndpointState(StrEnum):
     """State of an endpoint; only a ready one gets new requests."""
@@ -48,18 +54,32 @@
 
 
 class EndpointRecord:
-    """State of the local endpoint; an incarnation that has left is never ready again."""
+    """State of the local endpoint; an incarnation that has left is never ready again.
+
+    What an endpoint states in its responses belongs to its `identity`, and is discarded when
+    another endpoint or incarnation starts. That it leaves may be known from a heartbeat, from its
+    deregistration or from a response; all three have the same effect.
+    """
 
     def __init__(self, service: str) -> None:
         self._service = service
-        self._last_left: tuple[str, int] | None = None
-        self._incarnation = -1
+        self._departure: Departure | None = None
         self._sequence = -1
+        self._rate_limit = RateLimitStatement()
+        self.identity = EndpointIdentity()
         self.state = LocalEndpointState.ABSENT
-        self.endpoint_id = ""
         self.address = ""
         self.slots = 0
-        self.warm_at = 0.0
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the endpoint; empty if none is known."""
+        return self.identity.endpoint_id
+
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests per second that the endpoint takes, None if it names no limit."""
+        return self._rate_limit.per_s
 
     @property
     def is_ready(self) -> bool:
@@ -70,44 +90,67 @@
         """Apply a heartbeat unless a newer heartbeat or a newer incarnation is known."""
         if report.service != self._service:
             return ReportResult.OTHER_SERVICE
-        if report.incarnation < self._incarnation:
+        if report.incarnation < self.identity.incarnation:
             return ReportResult.OLD_INCARNATION
-        if (report.endpoint_id, report.incarnation) == self._last_left:
+        identity = EndpointIdentity(report.endpoint_id, report.incarnation)
+        if self._departure is not None and self._departure.covers(identity, now):
             return ReportResult.ALREADY_LEFT
-        started = report.incarnation > self._incarnation or report.endpoint_id != self.endpoint_id
+        started = identity != self.identity
         if not started and report.sequence <= self._sequence:
             return ReportResult.OLD_SEQUENCE
         if not started and self.state is LocalEndpointState.DRAINING:
             # A drain is final: it was acknowledged, and heartbeats that say otherwise may be late.
             self._sequence = report.sequence
             return ReportResult.APPLIED
-        self._incarnation = report.incarnation
+        if started and not self._is_first_report_of(identity):
+            self._rate_limit = RateLimitStatement()
+        self.identity = identity
         self._sequence = report.sequence
-        self.endpoint_id = report.endpoint_id
         self.address = report.address
         self.slots = report.slots
-        self.warm_at = now + report.warmup_left_s
         self.state = LocalEndpointState.DRAINING if report.draining else LocalEndpointState.READY
         return ReportResult.STARTED if started else ReportResult.APPLIED
 
+    def _is_first_report_of(self, identity: EndpointIdentity) -> bool:
+        """Whether a report adds only the incarnation of an endpoint found by a health check."""
+        return self.identity == EndpointIdentity(identity.endpoint_id)
+
     def apply_health_check(self, endpoint_id: str, address: str, slots: int) -> bool:
         """Mark the endpoint ready after a health check, if no heartbeat has been received yet.
 
         Returns whether the result was applied.
         """
-        if self.state is not LocalEndpointState.ABSENT or self._last_left is not None:
+        if self.state is not LocalEndpointState.ABSENT or self._departure is not None:
             return False
-        self.endpoint_id = endpoint_id
+        self.identity = EndpointIdentity(endpoint_id)
         self.address = address
         self.slots = slots
         self.state = LocalEndpointState.READY
         return True
 
-    def mark_leaving(self, endpoint_id: str) -> bool:
+    def note_rate_limit(
+        self, statement: EndpointStatement, endpoint: EndpointIdentity, sent_at: float, now: float
+    ) -> None:
+        """Apply the rate limit that a response names.
+
+        `endpoint` is the identity of the endpoint when the request was sent, at `sent_at` in
+        seconds. A response of an endpoint that has been replaced since is ignored.
+        """
+        if self._is_current(endpoint):
+            self._rate_limit.apply(statement, sent_at, now)
+
+    def _is_current(self, endpoint: EndpointIdentity) -> bool:
+        incarnation_matches = endpoint.incarnation in (
+            self.identity.incarnation,
+            UNKNOWN_INCARNATION,
+        )
+        return endpoint.endpoint_id == self.endpoint_id and incarnation_matches
+
+    def mark_leaving(self, endpoint_id: str, now: float) -> bool:
         """Record that an endpoint is leaving; return False if another endpoint has replaced it."""
         if endpoint_id != self.endpoint_id:
             return False
-        self._last_left = (endpoint_id, self._incarnation)
+        self._departure = Departure(self.identity, now)
         self.state = LocalEndpointState.DRAINING
         return True
 
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -48,13 +48,13 @@
 
     def test_a_late_report_does_not_restore_an_endpoint_that_left(self) -> None:
         """Requests would be sent to an endpoint that is stopping."""
-        self.assertTrue(self.record.mark_leaving("i-1"))
+        self.assertTrue(self.record.mark_leaving("i-1", 1.0))
         self.assertIs(self.apply(sequence=9), ReportResult.ALREADY_LEFT)
         self.assertFalse(self.record.is_ready)
 
     def test_leave_applies_only_to_the_named_endpoint(self) -> None:
         """A late message of the former endpoint would stop its successor."""
-        self.assertFalse(self.record.mark_leaving("i-0"))
+        self.assertFalse(self.record.mark_leaving("i-0", 1.0))
         self.assertTrue(self.record.is_ready)
 
     def test_a_report_of_another_service_is_rejected(self) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -12,6 +12,7 @@
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.dispatch.tree_cost import UsageByService
 from pollenglade_core.dispatch.tree_cost import add_usage
+from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.http_message import FailureReason
@@ -43,8 +44,8 @@
         """Names of header fields."""
 
     @property
-    def endpoint_id(self) -> str:
-        """Id of the local endpoint."""
+    def endpoint(self) -> EndpointIdentity:
+        """Identity of the local endpoint."""
 
     def load(self) -> tuple[float, ...]:
         """Return running, waiting, limit, expected seconds and failure rate of the endpoint."""
@@ -52,6 +53,12 @@
     def connect(self, call: EndpointCall) -> None:
         """Open a connection for a started call and send the call on it."""
 
+    def on_sent(self, call: EndpointCall) -> None:
+        """Count a request that is sent to the endpoint."""
+
+    def on_response_head(self, call: EndpointCall, status: int, headers: Headers) -> None:
+        """Handle the status and the header fields of a response."""
+
     def record_result(self, failed: bool) -> None:
         """Record whether the endpoint itself failed a request."""
 
@@ -106,6 +113,8 @@
         self._connection: ClientConnection | None = None
         self._queued_at = monotonic()
         self._started_at: float | None = None
+        self.endpoint = owner.endpoint
+        self.sent_at = 0.0
         self._status = 0
         self._headers: Headers = []
         self._buffered_chunks: list[bytes] = []
@@ -152,10 +161,12 @@
         """Send the request to the endpoint with the remaining time to its deadline."""
         self._connection = connection
         names = self._owner.names
-        remaining_s = max(0.001, self.context.remaining_s(monotonic()))
+        self.endpoint = self._owner.endpoint
+        self.sent_at = monotonic()
+        remaining_s = max(0.001, self.context.remaining_s(self.sent_at))
         headers = [
             *self._request.headers,
-            (names.expected_endpoint, self._owner.endpoint_id.encode()),
+            (names.expected_endpoint, self.endpoint.endpoint_id.encode()),
             (names.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
         ]
         connection.send(
@@ -169,11 +180,13 @@
             tag_field=names.request_id,
             tag=self.request_id,
         )
+        self._owner.on_sent(self)
 
     def on_head(self, status: int, headers: Headers) -> None:
         """Store the status and the headers of the response."""
         self._status = status
         self._headers = headers
+        self._owner.on_response_head(self, status, headers)
 
     def on_data(self, data: bytes) -> None:
         """Buffer a chunk of the body, or relay it once the body exceeds the buffer limit."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -26,12 +26,14 @@
 from pollenglade_core.serving.endpoint_record import EndpointReport
 from pollenglade_core.serving.endpoint_record import LocalEndpointState
 from pollenglade_core.serving.endpoint_record import ReportResult
+from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.client_connection import MAX_IDLE_S
 from pollenglade_net.client_connection import NON_RETRYABLE_MAX_IDLE_S
 from pollenglade_net.client_connection import ConnectionPool
 from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 
@@ -39,6 +41,8 @@
 from .header_names import HeaderNames
 from .recent_ids import RecentIds
 from .request_log import RequestLog
+from .response_check import WRONG_ENDPOINT_STATUS
+from .statement_fields import read_statement
 
 EXPIRY_INTERVAL_S = 0.02
 """Time in seconds between checks of the queue for requests that cannot finish by their deadline."""
@@ -88,6 +92,7 @@
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._probe_task: asyncio.Task[bool] | None = None
         self._crash_count = 0
+        self.sent_count = 0
         self.pool = ConnectionPool(max_idle=512)
         self._health_client = HttpClient(self.pool)
         self.record = EndpointRecord(service)
@@ -101,9 +106,9 @@
         return self._names
 
     @property
-    def endpoint_id(self) -> str:
-        """Id of the local endpoint."""
-        return self.record.endpoint_id
+    def endpoint(self) -> EndpointIdentity:
+        """Identity of the local endpoint."""
+        return self.record.identity
 
     @property
     def is_available(self) -> bool:
@@ -152,7 +157,7 @@
     def on_endpoint_leaving(self, endpoint_id: str) -> None:
         """Handle an endpoint's notice that it is shutting down."""
         previous_state = self.record.state
-        if self.record.mark_leaving(endpoint_id):
+        if self.record.mark_leaving(endpoint_id, monotonic()):
             self._on_record_changed(previous_state)
 
     def _on_record_changed(self, previous_state: LocalEndpointState) -> None:
@@ -160,7 +165,7 @@
             self._apply_actions(self._queue.resize(self.record.slots, monotonic()))
         if self.record.state is previous_state:
             return
-        log.info("endpoint_state", endpoint=self.endpoint_id, state=self.record.state.value)
+        log.info("endpoint_state", endpoint=self.record.endpoint_id, state=self.record.state.value)
         if not self.record.is_ready:
             self._apply_actions(self._queue.drain(Reason.DRAINING))
         self.on_endpoint_changed()
@@ -268,7 +273,7 @@
         previous_state = self.record.state
         self.record.mark_down()
         if previous_state is LocalEndpointState.READY:
-            log.warning("endpoint_down", endpoint=self.endpoint_id, detail=detail)
+            log.warning("endpoint_down", endpoint=self.record.endpoint_id, detail=detail)
         self._on_record_changed(previous_state)
 
     def on_ended(self, call: EndpointCall, completed: bool) -> None:
@@ -290,6 +295,28 @@
         else:
             self._apply_actions(self._queue.cancel(call_id, now))
 
+    def on_sent(self, call: EndpointCall) -> None:
+        """Count a request that is sent to the endpoint."""
+        self.sent_count += 1
+
+    def on_response_head(self, call: EndpointCall, status: int, headers: Headers) -> None:
+        """Log a change of what the endpoint states about itself in its responses."""
+        echoed_id = next((value for key, value in headers if key == self._names.request_id), None)
+        if status == WRONG_ENDPOINT_STATUS or echoed_id != call.request_id:
+            return
+        previous_limit = self.record.rate_limit
+        statement = read_statement(self._names, headers)
+        self.record.note_rate_limit(statement, call.endpoint, call.sent_at, monotonic())
+        if self.record.rate_limit != previous_limit:
+            log.info(
+                "endpoint_rate_limit",
+                endpoint=self.record.endpoint_id,
+                incarnation=self.record.identity.incarnation,
+                per_s=self.record.rate_limit,
+                before=previous_limit,
+                sent=self.sent_count,
+            )
+
     def record_result(self, failed: bool) -> None:
         """Record whether the endpoint itself failed a request."""
         self._queue.record_result(failed, monotonic())
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/header_names.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/header_names.py
@@ -15,7 +15,9 @@
     key of a client's organisation. The node adds `organisation`, the name of the organisation that
     the key identifies, and `caller_service`, the service of the node itself, to forwarded requests.
     `expected_endpoint` identifies the endpoint that a request is sent to, `endpoint` the one that
-    responds, and `load` contains its running and waiting requests and its slots.
+    responds, and `load` contains its running and waiting requests and its slots. With `rate_limit`
+    an endpoint names the requests per second that it takes from all nodes, with `leaving` it states
+    that it is shutting down; each of the two may have several spellings.
     """
 
     request_id: bytes
@@ -28,6 +30,8 @@
     expected_endpoint: bytes
     endpoint: bytes
     load: bytes
+    rate_limit: frozenset[bytes]
+    leaving: frozenset[bytes]
 
     @property
     def not_forwarded(self) -> frozenset[bytes]:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
@@ -62,6 +62,9 @@
     def cancelled_attempts(self) -> dict[str, int]:
         """Return the number of cancelled attempts at this node, by stage."""
 
+    def endpoint_requests(self) -> int:
+        """Return the number of requests that were sent to the local endpoint."""
+
     def latency(self) -> LatencyHistogram:
         """Return the durations of requests by decision."""
 
@@ -134,11 +137,15 @@
             for stage, count in self._readings.cancelled_attempts().items():
                 yield Observation(count, {"stage": stage})
 
+        def endpoint_requests() -> Iterator[Observation]:
+            yield Observation(self._readings.endpoint_requests())
+
         name = "pollenglade.mesh.request.duration.seconds"
         add_counter("pollenglade.mesh.answers", "Answers by status and reason.", answers)
         add_counter(
             "pollenglade.mesh.attempts.cancelled", "Attempts given up, by stage.", cancelled
         )
+        add_counter("pollenglade.mesh.endpoint.requests", "Requests sent to it.", endpoint_requests)
         add_counter(f"{name}.bucket", "Time from arrival to answer.", buckets)
         add_counter(f"{name}.sum", "Time from arrival to answer.", sums)
         add_counter(f"{name}.count", "Time from arrival to answer.", counts)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from math import inf
 from time import monotonic
 
 import structlog
@@ -146,7 +147,7 @@
         return NodeState(
             self.member,
             self.serving.is_available,
-            self.serving.endpoint_id,
+            self.serving.endpoint.endpoint_id,
             EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate),
             self.policy.version,
             self._entry.use_by_service,
@@ -213,6 +214,10 @@
         """Return the number of cancelled attempts at this node, by stage."""
         return {stage.value: n for stage, n in self.request_log.cancelled_by_stage.items()}
 
+    def endpoint_requests(self) -> int:
+        """Return the number of requests that were sent to the local endpoint."""
+        return self.serving.sent_count
+
     def latency(self) -> LatencyHistogram:
         """Return the durations of requests by decision."""
         return self.request_log.latency
@@ -220,6 +225,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the current value of each gauge by name."""
         running, waiting, limit, expected_s, failure_rate = self.serving.load()
+        rate_limit = self.serving.record.rate_limit
         now = monotonic()
         return {
             "members": len(self.peers.nodes),
@@ -235,6 +241,7 @@
             "endpoint_limit": limit,
             "endpoint_expected_seconds": expected_s,
             "endpoint_failure_rate": failure_rate,
+            "endpoint_rate_limit": inf if rate_limit is None else rate_limit,
         }
 
     async def start(self) -> None:
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/statement_fields.py
@@ -0,0 +1,31 @@
+"""Decodes what an endpoint states about itself in the header fields of a response."""
+
+from __future__ import annotations
+
+import re
+
+from pollenglade_core.serving.endpoint_statement import EndpointStatement
+from pollenglade_net.http_message import Headers
+
+from .header_names import HeaderNames
+
+RATE_LIMIT_PATTERN = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+"""A decimal number without sign or exponent."""
+
+
+def read_statement(names: HeaderNames, headers: Headers) -> EndpointStatement:
+    """Return the statement of a response.
+
+    If limits are given more than once, the lowest one counts. Values that are no decimal number are
+    ignored beside a valid one.
+    """
+    limits: list[float] = []
+    names_limit = leaving = False
+    for name, value in headers:
+        if name in names.rate_limit:
+            names_limit = True
+            items = [item.strip() for item in value.split(b",")]
+            limits += [float(item) for item in items if RATE_LIMIT_PATTERN.fullmatch(item)]
+        elif name in names.leaving:
+            leaving = leaving or value.strip() == b"1"
+    return EndpointStatement(min(limits, default=None), leaving, bool(limits) or not names_limit)
