Keep to the rate limit that an endpoint names

Cause: an endpoint states a bound of its own and no decision takes it in. The queue in front of it bounds only what runs at once.

Change: the serving node is the only sender to its endpoint, so it holds the limit: the queue sends by a token bucket, in order of importance, and rejects as not run what the limit would delay beyond the latest start that its deadline permits. The load that nodes report carries the limit; placement and admission take the smaller of the slots and of limit x time at the endpoint. The state of a node goes to all peers at once when the limit changes. Health checks count. A limit belongs to one incarnation of the endpoint, a lower one holds at once, a higher one or none only by a response begun after it, and an endpoint that gets no request is asked by health checks each 2.5 s. Until an endpoint has answered its node once, two requests run at a time, for at most 1 s, since a restarted node does not know what was named before.

Why it works: all requests to an endpoint pass one bucket, whatever nodes they come from and whatever they are (calls of endpoints, repeats, health checks).

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -11,12 +11,15 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections import OrderedDict
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from operator import attrgetter
 
+from ..serving.endpoint_statement import Departure
+from ..serving.endpoint_statement import EndpointIdentity
 from .slot_use import SlotUse
 
 MAX_REPORT_AGE_S = 3.0
@@ -49,13 +52,17 @@
 MAX_EXPLORATION_FAILURE_RATE = 0.1
 """Failure rate at which an endpoint no longer gets requests just to measure its speed."""
 
+MAX_DEPARTURES = 1024
+"""Departures that are kept, one for each node; more than the nodes of the planned size."""
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointLoad:
     """Load of an endpoint as its node reports it.
 
-    `expected_s` is the expected time at the endpoint, `failure_rate` the fraction of its recent
-    requests that it rejected or did not answer.
+    `limit` is the number of requests that may run at once, `expected_s` the expected time at the
+    endpoint, `failure_rate` the fraction of its recent requests that it rejected or did not answer,
+    `rate_limit` the requests per second that it takes, or None.
     """
 
     running: int = 0
@@ -63,6 +70,14 @@
     limit: int = 1
     expected_s: float = 0.05
     failure_rate: float = 0.0
+    rate_limit: float | None = None
+
+    @property
+    def capacity(self) -> float:
+        """Number of requests that can run at once on average, also with its rate limit."""
+        if self.rate_limit is None:
+            return self.limit
+        return min(self.limit, self.rate_limit * self.expected_s)
 
 
 class Peer:
@@ -70,15 +85,20 @@
 
     `sent` counts the requests sent from this node since the latest load report. The peer also
     records, in this order, when its latest load report arrived, when it last queried this node for
-    its state, and until when it is not chosen after a broken link.
+    its state, and until when it is not chosen after a broken link. It is not ready while its
+    endpoint is the one of its latest `departure`, whatever its node says: a restarted node may not
+    know that the endpoint is leaving.
     """
 
-    def __init__(self, node: str, zone: str, service: str) -> None:
+    def __init__(
+        self, node: str, zone: str, service: str, departure: Departure | None = None
+    ) -> None:
         self.node = node
         self.zone = zone
         self.service = service
         self.ready = False
-        self.endpoint_id = ""
+        self.endpoint = EndpointIdentity()
+        self.departure = departure
         self.load = EndpointLoad()
         self.sent = 0
         self.use_by_service: Mapping[str, SlotUse] = {}
@@ -89,6 +109,22 @@
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
 
+    def apply_state(
+        self, endpoint: EndpointIdentity, ready: bool, leaving: bool, now: float
+    ) -> None:
+        """Apply what the node says about the state of its endpoint."""
+        self.endpoint = endpoint
+        if leaving:
+            self.mark_leaving(now)
+            return
+        departed = self.departure is not None and self.departure.covers(endpoint, now)
+        self.ready = ready and not departed
+
+    def mark_leaving(self, now: float) -> None:
+        """Record that the current endpoint is leaving."""
+        self.departure = Departure(self.endpoint, now)
+        self.ready = False
+
     def apply_load_report(self, load: EndpointLoad, now: float) -> None:
         """Apply a load report and reset the count of requests sent since the previous one."""
         self.load = load
@@ -99,6 +135,7 @@
         """Whether requests may be sent to the endpoint."""
         return (
             self.ready
+            and self.load.capacity > 0.0
             and now - self.last_report_at < MAX_REPORT_AGE_S
             and now >= self.avoided_until
         )
@@ -117,8 +154,10 @@
     def wait_s(self) -> float:
         """Return the expected time in seconds in the endpoint's queue for a request sent now."""
         load = self.load
-        requests_ahead = max(0, load.running + load.waiting + self.sent + 1 - load.limit)
-        return requests_ahead * load.expected_s / load.limit
+        capacity = load.capacity
+        # One request that runs alone is no queue, however low the rate limit is.
+        requests_ahead = load.running + load.waiting + self.sent + 1 - max(1.0, capacity)
+        return max(0.0, requests_ahead) * load.expected_s / capacity
 
 
 class PeerView:
@@ -127,8 +166,27 @@
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self.peer_by_node: dict[str, Peer] = {}
+        self._departure_by_node: OrderedDict[str, Departure] = OrderedDict()
         self._choices_by_service: Counter[str] = Counter()
 
+    def add(self, node: str, zone: str, service: str) -> None:
+        """Add a node, unless it is known with this zone and service."""
+        peer = self.peer_by_node.get(node)
+        if peer is not None and (peer.zone, peer.service) == (zone, service):
+            return
+        self.remove(node)
+        self.peer_by_node[node] = Peer(node, zone, service, self._departure_by_node.get(node))
+
+    def remove(self, node: str) -> None:
+        """Remove a node; the departure of its endpoint applies also after its return."""
+        peer = self.peer_by_node.pop(node, None)
+        if peer is None or peer.departure is None:
+            return
+        self._departure_by_node[node] = peer.departure
+        self._departure_by_node.move_to_end(node)
+        if len(self._departure_by_node) > MAX_DEPARTURES:
+            self._departure_by_node.popitem(last=False)
+
     def peers_of_service(self, service: str) -> list[Peer]:
         """Return the endpoints of a service."""
         return [peer for peer in self.peer_by_node.values() if peer.service == service]
@@ -166,9 +224,9 @@
         return min(candidates, key=attrgetter("last_chosen_at"), default=None)
 
     def slots(self, service: str, now: float) -> float:
-        """Return the total number of slots of the usable endpoints of a service."""
+        """Return the requests that can run at once at the usable endpoints of a service."""
         return sum(
-            peer.load.limit for peer in self.peers_of_service(service) if peer.is_usable(now)
+            peer.load.capacity for peer in self.peers_of_service(service) if peer.is_usable(now)
         )
 
     def has_endpoints(self, service: str) -> bool:
@@ -190,14 +248,8 @@
     def failure_rate(self, service: str, now: float) -> float:
         """Return the mean failure rate of a service's endpoints, weighted by their slots."""
         loads = [peer.load for peer in self.peers_of_service(service) if peer.is_usable(now)]
-        slots = sum(load.limit for load in loads)
-        return sum(load.failure_rate * load.limit for load in loads) / slots if slots else 0.0
-
-    def keep_only(self, nodes: Iterable[str]) -> None:
-        """Remove all nodes except the given ones."""
-        members = set(nodes)
-        for node in [node for node in self.peer_by_node if node not in members]:
-            del self.peer_by_node[node]
+        slots = sum(load.capacity for load in loads)
+        return sum(load.failure_rate * load.capacity for load in loads) / slots if slots else 0.0
 
     def _score_s(self, peer: Peer, now: float) -> float:
         score = peer.wait_s() + peer.load.expected_s * SERVICE_TIME_WEIGHT
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -53,6 +53,12 @@
 wrong.
 """
 
+MIN_COMPARED_SLOTS = 2.0
+"""Lower bound on the slots that occupied slots are compared with.
+
+Rate limits may leave a service less than one slot on average, which one running request exceeds.
+"""
+
 MIN_SUCCESS_RATE = 0.2
 """Expected fraction of trees that finish below which a request with nested calls is refused."""
 
@@ -164,7 +170,8 @@
 
 def _admissible_slots(index: int, occupied: float, slots: float) -> float:
     """Return the number of slots to divide among the priorities at the given occupancy."""
-    correction = CORRECTION_GAIN * (DESIRED_USE_BY_PRIORITY[index] - occupied / slots)
+    occupied_ratio = occupied / max(slots, MIN_COMPARED_SLOTS)
+    correction = CORRECTION_GAIN * (DESIRED_USE_BY_PRIORITY[index] - occupied_ratio)
     return slots * min(MAX_ADMISSIBLE_RATIO, max(MIN_ADMISSIBLE_RATIO, 1.0 + correction))
 
 
@@ -275,9 +282,10 @@
             admitted_fraction = admitted_fractions(
                 use.offered, _admissible_slots(index, occupied_at_or_above, slots)
             )[index]
+            max_slots = max(slots, MIN_COMPARED_SLOTS) * MAX_USE_BY_PRIORITY[index]
             fits = (
                 random_value < admitted_fraction
-                and occupied_at_or_above + needed_slots <= slots * MAX_USE_BY_PRIORITY[index]
+                and occupied_at_or_above + needed_slots <= max_slots
             )
             if would_finish and fits:
                 continue
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -6,6 +6,10 @@
 rank nested calls start first, because their parent requests have already done work, and then the
 request whose latency objective ends first. A request is rejected, at once or while it waits, if the
 time to its deadline is less than half of the expected time at the endpoint.
+
+An endpoint may limit the requests per second that it takes. A request that this limit would delay
+beyond the latest start that its deadline permits is rejected as well, so that it is placed at
+another endpoint or refused early; more important requests do not wait behind it.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
 from heapq import heappush
 
 from ..calls.outcome import Reason
+from .request_rate import RequestRate
 
 INITIAL_EXPECTED_S = 0.05
 """Expected time at the endpoint in seconds before the first measurement."""
@@ -42,6 +47,16 @@
 MIN_REMAINING_FRACTION = 0.5
 """Fraction of the expected time that must remain before the deadline for a request to start."""
 
+UNANSWERED_LIMIT = 2
+"""Requests that run at once until the endpoint has responded to one of them.
+
+An endpoint may have named a rate limit to a node that has been restarted since.
+"""
+
+FIRST_RESPONSE_TIMEOUT_S = 1.0
+"""Time in seconds after which `UNANSWERED_LIMIT` no longer applies; most responses take less, and
+two requests that hang must not keep all others from the endpoint."""
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
@@ -93,6 +108,8 @@
         self._expected_s = INITIAL_EXPECTED_S
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
+        self._rate = RequestRate()
+        self._first_response_due_at = 0.0
 
     @property
     def running(self) -> int:
@@ -122,10 +139,40 @@
         self._failure_rate += ((1.0 if failed else 0.0) - self._failure_rate) * weight
 
     @property
-    def wait_s(self) -> float:
-        """Expected time in seconds in the queue for a request that arrives now."""
+    def rate_limit(self) -> float | None:
+        """Limit of the endpoint in requests per second, None if there is none."""
+        return self._rate.per_s
+
+    def set_rate_limit(self, per_s: float | None, now: float) -> list[QueueAction]:
+        """Limit the requests per second and start waiting requests that may be sent now."""
+        if per_s != self._rate.per_s:
+            self._rate.set_limit(per_s, now)
+        return self._start_waiting(now)
+
+    def await_first_response(self, now: float) -> None:
+        """Run at most `UNANSWERED_LIMIT` requests until `on_response` is called."""
+        self._first_response_due_at = now + FIRST_RESPONSE_TIMEOUT_S
+
+    def on_response(self, now: float) -> list[QueueAction]:
+        """Record that the endpoint has responded and start waiting requests that now fit."""
+        if now >= self._first_response_due_at:
+            return []
+        self._first_response_due_at = now
+        return self._start_waiting(now)
+
+    def on_health_check(self, now: float) -> None:
+        """Count a health check against the rate limit."""
+        self._rate.on_sent(now)
+
+    def _wait_s(self, request: QueuedRequest, now: float) -> float:
+        """Return the expected time in seconds in the queue for a request that arrives now."""
         requests_ahead = len(self._waiting_by_id) + max(0, self.running + 1 - self.limit)
-        return requests_ahead * self._expected_s / self.limit
+        slot_wait_s = requests_ahead * self._expected_s / self.limit
+        if self._rate.per_s is None:
+            return slot_wait_s
+        order = _order(request)
+        requests_before = sum(_order(other) <= order for other in self._waiting_by_id.values())
+        return max(slot_wait_s, self._rate.wait_s(requests_before, now))
 
     def resize(self, slots: int, now: float) -> list[QueueAction]:
         """Set the number of slots of the endpoint and start waiting requests that now fit."""
@@ -134,17 +181,18 @@
 
     def offer(self, request: QueuedRequest, now: float) -> list[QueueAction]:
         """Start, queue or reject a new request."""
-        if request.deadline - now < self._expected_s * MIN_REMAINING_FRACTION:
+        if self._is_late(request, now):
             return [RejectRequest(request.request_id, Reason.DEADLINE)]
-        if not self._waiting_by_id and self.running < self.limit:
-            self._started_at_by_id[request.request_id] = now
-            return [StartRequest(request.request_id)]
-        if not request.nested and now + self.wait_s > request.objective_at:
+        if not self._waiting_by_id and self._has_room(now):
+            return [self._start(request, now)]
+        starts_at = now + self._wait_s(request, now)
+        misses_objective = not request.nested and starts_at > request.objective_at
+        is_rate_limited = self._rate.per_s is not None
+        if misses_objective or (is_rate_limited and starts_at > self._latest_start(request)):
             return [RejectRequest(request.request_id, Reason.OVERLOADED)]
         self._serial += 1
         self._waiting_by_id[request.request_id] = request
-        key = (request.rank, not request.nested, request.objective_at, self._serial, request)
-        heappush(self._heap, key)
+        heappush(self._heap, (*_order(request), self._serial, request))
         return self._start_waiting(now)
 
     def finish(self, request_id: str, now: float) -> list[QueueAction]:
@@ -162,16 +210,35 @@
         return self._start_waiting(now)
 
     def expire(self, now: float) -> list[QueueAction]:
-        """Reject the waiting requests with too little time left before their deadline."""
-        actions: list[QueueAction] = [
+        """Reject the waiting requests that cannot start early enough before their deadline."""
+        actions = [
             RejectRequest(request.request_id, Reason.DEADLINE)
             for request in self._waiting_by_id.values()
             if self._is_late(request, now)
         ]
+        actions += self._reject_displaced(now)
         for action in actions:
             del self._waiting_by_id[action.request_id]
         self._compact()
-        return actions + self._start_waiting(now)
+        return [*actions, *self._start_waiting(now)]
+
+    def _reject_displaced(self, now: float) -> list[RejectRequest]:
+        """Return rejections of requests that the rate limit delays beyond their latest start.
+
+        More important requests that arrived later may have moved ahead of them.
+        """
+        if self._rate.per_s is None:
+            return []
+        rejections: list[RejectRequest] = []
+        requests_ahead = 0
+        for request in sorted(self._waiting_by_id.values(), key=_order):
+            if self._is_late(request, now):
+                continue
+            if now + self._rate.wait_s(requests_ahead, now) > self._latest_start(request):
+                rejections.append(RejectRequest(request.request_id, Reason.OVERLOADED))
+            else:
+                requests_ahead += 1
+        return rejections
 
     def drain(self, reason: Reason) -> Sequence[QueueAction]:
         """Reject all waiting requests because the endpoint accepts no more."""
@@ -182,7 +249,7 @@
 
     def _start_waiting(self, now: float) -> list[QueueAction]:
         actions: list[QueueAction] = []
-        while self._heap and self.running < self.limit:
+        while self._heap and self._has_room(now):
             request = heappop(self._heap)[-1]
             if self._waiting_by_id.get(request.request_id) is not request:
                 continue
@@ -190,12 +257,25 @@
             if self._is_late(request, now):
                 actions.append(RejectRequest(request.request_id, Reason.DEADLINE))
                 continue
-            self._started_at_by_id[request.request_id] = now
-            actions.append(StartRequest(request.request_id))
+            actions.append(self._start(request, now))
         return actions
 
+    def _has_room(self, now: float) -> bool:
+        limit = self.limit
+        if now < self._first_response_due_at:
+            limit = min(limit, UNANSWERED_LIMIT)
+        return self.running < limit and self._rate.can_send(now)
+
+    def _start(self, request: QueuedRequest, now: float) -> StartRequest:
+        self._started_at_by_id[request.request_id] = now
+        self._rate.on_sent(now)
+        return StartRequest(request.request_id)
+
+    def _latest_start(self, request: QueuedRequest) -> float:
+        return request.deadline - self._expected_s * MIN_REMAINING_FRACTION
+
     def _is_late(self, request: QueuedRequest, now: float) -> bool:
-        return request.deadline - now < self._expected_s * MIN_REMAINING_FRACTION
+        return now > self._latest_start(request)
 
     def _compact(self) -> None:
         if len(self._heap) > 2 * len(self._waiting_by_id) + 16:
@@ -204,3 +284,8 @@
                 entry for entry in self._heap if waiting.get(entry[-1].request_id) is entry[-1]
             ]
             heapify(self._heap)
+
+
+def _order(request: QueuedRequest) -> tuple[int, bool, float]:
+    """Return the sort key by which waiting requests start."""
+    return (request.rank, not request.nested, request.objective_at)
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -128,15 +128,24 @@
         self.state = LocalEndpointState.READY
         return True
 
-    def note_rate_limit(
-        self, statement: EndpointStatement, endpoint: EndpointIdentity, sent_at: float, now: float
+    def apply_statement(
+        self,
+        statement: EndpointStatement,
+        endpoint: EndpointIdentity,
+        sent_at: float,
+        now: float,
+        health_check: bool = False,
     ) -> None:
-        """Apply the rate limit that a response names.
+        """Apply what a response states about the endpoint.
 
         `endpoint` is the identity of the endpoint when the request was sent, at `sent_at` in
         seconds. A response of an endpoint that has been replaced since is ignored.
         """
-        if self._is_current(endpoint):
+        if not self._is_current(endpoint):
+            return
+        if health_check:
+            self._rate_limit.apply_health_check(statement, sent_at, now)
+        else:
             self._rate_limit.apply(statement, sent_at, now)
 
     def _is_current(self, endpoint: EndpointIdentity) -> bool:
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -102,3 +102,56 @@
         for step in range(15):
             queue.record_result(False, 4.0 + step * 0.1)
         self.assertLess(queue.failure_rate, 0.1)
+
+
+class RateLimitedQueueTest(unittest.TestCase):
+    """One endpoint with 95 usable slots that takes two requests a second."""
+
+    def setUp(self) -> None:
+        self.queue = EndpointQueue(100)
+        self.queue.set_rate_limit(2.0, 0.0)
+
+    def test_requests_beyond_the_rate_limit_start_at_once(self) -> None:
+        for number in range(3):
+            self.assertEqual(self.queue.offer(make_request(str(number)), 0.0), [])
+        self.assertEqual(self.queue.expire(0.4), [])
+        self.assertEqual(self.queue.expire(0.55), [StartRequest("0")])
+        self.assertEqual(self.queue.expire(1.05), [StartRequest("1")])
+
+    def test_an_important_request_waits_behind_unimportant_ones(self) -> None:
+        for number in range(3):
+            self.queue.offer(make_request(str(number), rank=2), 0.0)
+        self.assertEqual(self.queue.offer(make_request("pay", rank=0, objective=0.6), 0.0), [])
+        self.assertEqual(self.queue.expire(0.55), [StartRequest("pay")])
+
+    def test_a_nested_request_that_the_limit_delays_too_long_waits_until_it_is_late(self) -> None:
+        """Its entry node could have placed it at another endpoint in the meantime."""
+        for number in range(3):
+            self.queue.offer(make_request(str(number), nested=True), 0.0)
+        (action,) = self.queue.offer(make_request("late", nested=True, deadline=1.5), 0.0)
+        self.assertEqual(action, RejectRequest("late", Reason.OVERLOADED))
+
+    def test_a_displaced_request_waits_until_it_is_late(self) -> None:
+        self.queue.offer(make_request("browse", nested=True, rank=2, deadline=0.8), 0.0)
+        self.queue.offer(make_request("pay", rank=0, objective=2.0), 0.1)
+        self.assertEqual(self.queue.expire(0.2), [RejectRequest("browse", Reason.OVERLOADED)])
+
+    def test_a_lifted_limit_keeps_requests_waiting(self) -> None:
+        for number in range(3):
+            self.queue.offer(make_request(str(number)), 0.0)
+        self.assertEqual(len(self.queue.set_rate_limit(None, 0.1)), 3)
+
+    def test_many_requests_start_before_the_endpoint_has_responded_once(self) -> None:
+        """A restarted node does not know the limit that the endpoint named before."""
+        queue = EndpointQueue(100)
+        queue.await_first_response(0.0)
+        started = [queue.offer(make_request(str(number)), 0.0) for number in range(5)]
+        self.assertEqual(sum(len(actions) for actions in started), 2)
+        self.assertEqual(len(queue.on_response(0.1)), 3)
+
+    def test_two_requests_without_response_block_the_endpoint(self) -> None:
+        queue = EndpointQueue(100)
+        queue.await_first_response(0.0)
+        for number in range(5):
+            queue.offer(make_request(str(number)), 0.0)
+        self.assertEqual(len(queue.expire(1.01)), 3)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/attempt_result_sink.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/attempt_result_sink.py
@@ -6,13 +6,11 @@
 from typing import Protocol
 
 from pollenglade_core.calls.outcome import Refusal
-from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_net.http_message import Headers
 from pollenglade_net.link_message import Feedback
 
-LOAD_FIELD_COUNT = 5
-"""Load figures in a load report: running, waiting, limit, expected seconds, failure rate."""
+from .load_report import unpack_load
 
 
 class AttemptedCall(Protocol):
@@ -47,10 +45,11 @@
     the load in their feedback, which is always recorded at the peer.
     """
 
-    __slots__ = ("_call", "peer")
+    __slots__ = ("_call", "_endpoint", "peer")
 
     def __init__(self, call: AttemptedCall, peer: Peer) -> None:
         self._call = call
+        self._endpoint = peer.endpoint
         self.peer = peer
 
     def _is_current(self) -> bool:
@@ -85,11 +84,11 @@
             self._call.on_stream_failure(refusal)
 
     def _record_load(self, feedback: Feedback) -> None:
-        if len(feedback.load_report) >= LOAD_FIELD_COUNT:
-            running, waiting, limit, expected_s, failure_rate = feedback.load_report[
-                :LOAD_FIELD_COUNT
-            ]
-            load = EndpointLoad(
-                int(running), int(waiting), max(1, int(limit)), expected_s, failure_rate
-            )
-            self.peer.apply_load_report(load, monotonic())
+        report = unpack_load(feedback.load_report)
+        if report is None:
+            return
+        load, leaving = report
+        now = monotonic()
+        self.peer.apply_load_report(load, now)
+        if leaving and self.peer.endpoint == self._endpoint:
+            self.peer.mark_leaving(now)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -9,6 +9,7 @@
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.dispatch.tree_cost import UsageByService
 from pollenglade_core.dispatch.tree_cost import add_usage
@@ -24,6 +25,7 @@
 
 from ..serving.relay_window import RelayWindow
 from .header_names import HeaderNames
+from .load_report import pack_load
 from .response_check import check_response
 from .stage import Stage
 
@@ -47,8 +49,12 @@
     def endpoint(self) -> EndpointIdentity:
         """Identity of the local endpoint."""
 
-    def load(self) -> tuple[float, ...]:
-        """Return running, waiting, limit, expected seconds and failure rate of the endpoint."""
+    def load(self) -> EndpointLoad:
+        """Return the load of the endpoint."""
+
+    @property
+    def is_endpoint_leaving(self) -> bool:
+        """Whether the endpoint is shutting down."""
 
     def connect(self, call: EndpointCall) -> None:
         """Open a connection for a started call and send the call on it."""
@@ -312,7 +318,7 @@
                 (name, item.calls, item.slot_s, round(item.wait_s, 6))
                 for name, item in usage.items()
             ),
-            load_report=self._owner.load(),
+            load_report=pack_load(self._owner.load(), self._owner.is_endpoint_leaving),
         )
         if not completed:
             for nested in list(self._open_nested):
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -17,6 +17,7 @@
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.randomness import RandomSource
 from pollenglade_core.serving.endpoint_queue import EndpointQueue
 from pollenglade_core.serving.endpoint_queue import QueueAction
@@ -36,6 +37,7 @@
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
 
 from .endpoint_call import EndpointCall
 from .header_names import HeaderNames
@@ -56,6 +58,10 @@
 PROBE_TIMEOUT_S = 0.5
 """Time limit in seconds for a crash probe or a health request to the endpoint on the same host."""
 
+LIMIT_CHECK_INTERVAL_S = 2.5
+"""Time in seconds without a response after which the health path of an endpoint with a rate limit
+is queried. A limit may be so low that no request is sent whose response could lift it."""
+
 log = structlog.get_logger()
 
 
@@ -91,6 +97,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._probe_task: asyncio.Task[bool] | None = None
+        self._limit_check_timer: asyncio.TimerHandle | None = None
+        self._last_response_at = 0.0
+        self._health_path = ""
         self._crash_count = 0
         self.sent_count = 0
         self.pool = ConnectionPool(max_idle=512)
@@ -123,20 +132,26 @@
         """Whether calls are queued or running."""
         return bool(self._call_by_id)
 
-    def load(self) -> tuple[float, ...]:
-        """Return running, waiting, limit, expected seconds and failure rate of the endpoint.
+    @property
+    def is_endpoint_leaving(self) -> bool:
+        """Whether the local endpoint is shutting down."""
+        return self.record.state is LocalEndpointState.DRAINING
+
+    def load(self) -> EndpointLoad:
+        """Return the load of the local endpoint.
 
-        The limit is the number of requests that may run at once, 95 % of the endpoint's slots; it
-        does not adapt to the load. The expected seconds are a moving average of the time that a
-        request takes at the endpoint, without its time in the queue.
+        Its limit is 95 % of the endpoint's slots and does not adapt to the load. The expected
+        seconds are a moving average of the time that a request takes at the endpoint, without its
+        time in the queue.
         """
         queue = self._queue
-        return (
+        return EndpointLoad(
             queue.running,
             queue.waiting,
             queue.limit,
             round(queue.expected_s, 5),
             round(queue.failure_rate, 3),
+            queue.rate_limit,
         )
 
     def apply(self, report: EndpointReport) -> ReportResult:
@@ -144,6 +159,7 @@
         previous_state = self.record.state
         result = self.record.apply(report, monotonic())
         if result is ReportResult.STARTED:
+            self._queue.await_first_response(monotonic())
             log.info(
                 "endpoint_started",
                 endpoint=report.endpoint_id,
@@ -161,25 +177,73 @@
             self._on_record_changed(previous_state)
 
     def _on_record_changed(self, previous_state: LocalEndpointState) -> None:
+        now = monotonic()
         if self.record.slots > 0:
-            self._apply_actions(self._queue.resize(self.record.slots, monotonic()))
-        if self.record.state is previous_state:
+            self._apply_actions(self._queue.resize(self.record.slots, now))
+        has_new_limit = self.record.rate_limit != self._queue.rate_limit
+        if has_new_limit:
+            log.info(
+                "endpoint_rate_limit",
+                endpoint=self.record.endpoint_id,
+                incarnation=self.record.identity.incarnation,
+                per_s=self.record.rate_limit,
+                before=self._queue.rate_limit,
+                sent=self.sent_count,
+            )
+            self._apply_actions(self._queue.set_rate_limit(self.record.rate_limit, now))
+            self._schedule_limit_check()
+        has_new_state = self.record.state is not previous_state
+        if has_new_state:
+            log.info(
+                "endpoint_state",
+                endpoint=self.record.endpoint_id,
+                state=self.record.state.value,
+            )
+            if not self.record.is_ready:
+                self._apply_actions(self._queue.drain(Reason.DRAINING))
+        if has_new_limit or has_new_state:
+            self.on_endpoint_changed()
+
+    def _schedule_limit_check(self) -> None:
+        if self._limit_check_timer is None and self.record.rate_limit is not None:
+            self._limit_check_timer = self._loop.call_later(
+                LIMIT_CHECK_INTERVAL_S, self._check_limit
+            )
+
+    def _check_limit(self) -> None:
+        self._limit_check_timer = None
+        if self.record.rate_limit is None or not self._health_path:
+            return
+        if monotonic() - self._last_response_at >= LIMIT_CHECK_INTERVAL_S:
+            self._spawn(self._query_limit())
+        self._schedule_limit_check()
+
+    async def _query_limit(self) -> None:
+        endpoint, sent_at = self.record.identity, monotonic()
+        response = await self._query_health()
+        if isinstance(response, HttpFailure):
             return
-        log.info("endpoint_state", endpoint=self.record.endpoint_id, state=self.record.state.value)
-        if not self.record.is_ready:
-            self._apply_actions(self._queue.drain(Reason.DRAINING))
-        self.on_endpoint_changed()
+        if response.header(self._names.endpoint) != endpoint.endpoint_id.encode():
+            return
+        self._apply_statement(response.headers, endpoint, sent_at, health_check=True)
+
+    async def _query_health(self) -> HttpResponse | HttpFailure:
+        self._queue.on_health_check(monotonic())
+        self.sent_count += 1
+        return await self._health_client.request(
+            self._address, "GET", self._health_path, timeout_s=PROBE_TIMEOUT_S
+        )
 
     async def discover_endpoint(self, health_path: str) -> None:
         """Query the health path for the endpoint's id and slots.
 
         Does nothing if a heartbeat has arrived since the node started.
         """
+        self._health_path = health_path
         if self.record.state is not LocalEndpointState.ABSENT:
             return
-        response = await self._health_client.request(
-            self._address, "GET", health_path, timeout_s=PROBE_TIMEOUT_S
-        )
+        sent_at = monotonic()
+        response = await self._query_health()
         if isinstance(response, HttpFailure) or response.status != 200:
             return
         endpoint_id = (response.header(self._names.endpoint) or b"").decode("latin-1")
@@ -190,7 +254,11 @@
         previous_state = self.record.state
         if self.record.apply_health_check(endpoint_id, str(self._address), slots):
             log.info("endpoint_found", endpoint=endpoint_id, slots=slots)
+            self._queue.await_first_response(monotonic())
             self._on_record_changed(previous_state)
+            self._apply_statement(
+                response.headers, self.record.identity, sent_at, health_check=True
+            )
 
     def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> EndpointCall:
         """Start, queue or refuse a call; the result goes to `sink`."""
@@ -300,22 +368,25 @@
         self.sent_count += 1
 
     def on_response_head(self, call: EndpointCall, status: int, headers: Headers) -> None:
-        """Log a change of what the endpoint states about itself in its responses."""
+        """Apply what the endpoint states about itself in a response to a call."""
         echoed_id = next((value for key, value in headers if key == self._names.request_id), None)
         if status == WRONG_ENDPOINT_STATUS or echoed_id != call.request_id:
             return
-        previous_limit = self.record.rate_limit
+        self._last_response_at = monotonic()
+        self._apply_statement(headers, call.endpoint, call.sent_at)
+        self._apply_actions(self._queue.on_response(self._last_response_at))
+
+    def _apply_statement(
+        self,
+        headers: Headers,
+        endpoint: EndpointIdentity,
+        sent_at: float,
+        health_check: bool = False,
+    ) -> None:
+        previous_state = self.record.state
         statement = read_statement(self._names, headers)
-        self.record.note_rate_limit(statement, call.endpoint, call.sent_at, monotonic())
-        if self.record.rate_limit != previous_limit:
-            log.info(
-                "endpoint_rate_limit",
-                endpoint=self.record.endpoint_id,
-                incarnation=self.record.identity.incarnation,
-                per_s=self.record.rate_limit,
-                before=previous_limit,
-                sent=self.sent_count,
-            )
+        self.record.apply_statement(statement, endpoint, sent_at, monotonic(), health_check)
+        self._on_record_changed(previous_state)
 
     def record_result(self, failed: bool) -> None:
         """Record whether the endpoint itself failed a request."""
@@ -369,8 +440,9 @@
 
     async def close(self) -> None:
         """Cancel pending calls and background tasks, and close the connections."""
-        if self._expiry_timer is not None:
-            self._expiry_timer.cancel()
+        for timer in (self._expiry_timer, self._limit_check_timer):
+            if timer is not None:
+                timer.cancel()
         for call in list(self._call_by_id.values()):
             call.cancel()
         for task in self._tasks:
--- /dev/null
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/load_report.py
@@ -0,0 +1,43 @@
+"""Packs the load of an endpoint into the figures that the feedback of a call carries."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from pollenglade_core.dispatch.peer_view import EndpointLoad
+
+LOAD_FIELD_COUNT = 5
+"""Figures that every release sends: running, waiting, limit, expected seconds, failure rate."""
+
+NO_RATE_LIMIT = -1.0
+"""Stands for an endpoint without a rate limit."""
+
+
+def pack_load(load: EndpointLoad, leaving: bool) -> tuple[float, ...]:
+    """Return the load of an endpoint, its rate limit and whether it is leaving as figures."""
+    return (
+        load.running,
+        load.waiting,
+        load.limit,
+        load.expected_s,
+        load.failure_rate,
+        NO_RATE_LIMIT if load.rate_limit is None else load.rate_limit,
+        float(leaving),
+    )
+
+
+def unpack_load(figures: Sequence[float]) -> tuple[EndpointLoad, bool] | None:
+    """Return the load of an endpoint and whether it is leaving; None if figures are missing."""
+    if len(figures) < LOAD_FIELD_COUNT:
+        return None
+    running, waiting, limit, expected_s, failure_rate = figures[:LOAD_FIELD_COUNT]
+    rate_limit, leaving = (*figures[LOAD_FIELD_COUNT:], NO_RATE_LIMIT, 0.0)[:2]
+    load = EndpointLoad(
+        int(running),
+        int(waiting),
+        max(1, int(limit)),
+        expected_s,
+        failure_rate,
+        None if rate_limit < 0.0 else rate_limit,
+    )
+    return load, leaving > 0.0
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -12,7 +12,6 @@
 
 from pollenglade_core.admission.quarantine import CrashLedger
 from pollenglade_core.admission.quarantine import CrashNotice
-from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
@@ -143,14 +142,14 @@
         return self.policy.current is not None and not self.serving.is_draining
 
     def _current_state(self) -> NodeState:
-        running, waiting, limit, expected_s, failure_rate = self.serving.load()
         return NodeState(
             self.member,
             self.serving.is_available,
-            self.serving.endpoint.endpoint_id,
-            EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate),
+            self.serving.endpoint,
+            self.serving.load(),
             self.policy.version,
             self._entry.use_by_service,
+            self.serving.is_endpoint_leaving,
         )
 
     def _on_policy_changed(self, policy: TrafficPolicy) -> None:
@@ -197,10 +196,12 @@
         self._entry.handle(exchange)
 
     def _refresh_local_peer(self) -> None:
-        running, waiting, limit, expected_s, failure_rate = self.serving.load()
-        load = EndpointLoad(int(running), int(waiting), int(limit), expected_s, failure_rate)
-        self._local_peer.ready = self.serving.is_available
-        self._local_peer.apply_load_report(load, monotonic())
+        now = monotonic()
+        serving = self.serving
+        self._local_peer.apply_state(
+            serving.endpoint, serving.is_available, serving.is_endpoint_leaving, now
+        )
+        self._local_peer.apply_load_report(serving.load(), now)
 
     def describe_limit(self, organisation: str) -> str:
         """Return the tokens, share and holders of an organisation's limit at this node, as text."""
@@ -224,8 +225,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the current value of each gauge by name."""
-        running, waiting, limit, expected_s, failure_rate = self.serving.load()
-        rate_limit = self.serving.record.rate_limit
+        load = self.serving.load()
         now = monotonic()
         return {
             "members": len(self.peers.nodes),
@@ -236,12 +236,12 @@
             "policy_version": self.policy.version,
             "requests_open": self._entry.open_request_count,
             "loop_delay_seconds": self._loop_delay.longest_s,
-            "endpoint_running": running,
-            "endpoint_waiting": waiting,
-            "endpoint_limit": limit,
-            "endpoint_expected_seconds": expected_s,
-            "endpoint_failure_rate": failure_rate,
-            "endpoint_rate_limit": inf if rate_limit is None else rate_limit,
+            "endpoint_running": load.running,
+            "endpoint_waiting": load.waiting,
+            "endpoint_limit": load.limit,
+            "endpoint_expected_seconds": load.expected_s,
+            "endpoint_failure_rate": load.failure_rate,
+            "endpoint_rate_limit": inf if load.rate_limit is None else load.rate_limit,
         }
 
     async def start(self) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -15,10 +15,11 @@
 
 from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
 from pollenglade_core.dispatch.peer_view import EndpointLoad
-from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.slot_use import PRIORITY_COUNT
 from pollenglade_core.dispatch.slot_use import SlotUse
+from pollenglade_core.serving.endpoint_statement import UNKNOWN_INCARNATION
+from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_net.address import Address
 
 from ..membership.links import Links
@@ -60,14 +61,16 @@
 
     `ready` is `EndpointServing.is_available` of the node: whether its endpoint accepts calls. It
     differs from `MeshNode.is_ready`, which says whether the node accepts requests of clients.
+    `leaving` says that the endpoint itself is shutting down.
     """
 
     member: MeshMember
     ready: bool
-    endpoint_id: str
+    endpoint: EndpointIdentity
     load: EndpointLoad
     policy_version: int
     use_by_service: Mapping[str, SlotUse] = field(default_factory=dict)
+    leaving: bool = False
 
     def to_wire(self) -> list[object]:
         """Return the state as a list of plain values for the link."""
@@ -79,13 +82,14 @@
             member.link_address,
             member.incarnation,
             self.ready,
-            self.endpoint_id,
+            self.endpoint.endpoint_id,
             [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate],
             self.policy_version,
             {
                 name: [round(slots, 2) for slots in (*use.occupied, *use.offered)]
                 for name, use in self.use_by_service.items()
             },
+            [self.endpoint.incarnation, self.leaving, load.rate_limit],
         ]
 
     @classmethod
@@ -112,21 +116,38 @@
                 ],
                 int(version),
                 dict(slot_use_by_service),
-                *_,
+                *statement,
             ]:
                 member = MeshMember(node, zone, service, address, incarnation)
+                endpoint_incarnation, leaving, rate_limit = _decode_statement(statement)
                 load = EndpointLoad(
-                    running, waiting, max(1, limit), float(expected_s), float(failure_rate)
+                    running,
+                    waiting,
+                    max(1, limit),
+                    float(expected_s),
+                    float(failure_rate),
+                    rate_limit,
                 )
                 use_by_service = {
                     name: SlotUse(tuple(use[:PRIORITY_COUNT]), tuple(use[PRIORITY_COUNT:]))
                     for name, use in slot_use_by_service.items()
                     if isinstance(name, str) and _is_slot_use(use)
                 }
-                return cls(member, ready, endpoint_id, load, version, use_by_service)
+                endpoint = EndpointIdentity(endpoint_id, endpoint_incarnation)
+                return cls(member, ready, endpoint, load, version, use_by_service, leaving)
         return None
 
 
+def _decode_statement(value: list[object]) -> tuple[int, bool, float | None]:
+    """Return incarnation, leaving and rate limit of an endpoint; an older release sends none."""
+    match value:
+        case [[int(incarnation), bool(leaving), None], *_]:
+            return incarnation, leaving, None
+        case [[int(incarnation), bool(leaving), float() | int() as rate_limit], *_]:
+            return incarnation, leaving, max(0.0, float(rate_limit))
+    return UNKNOWN_INCARNATION, False, None
+
+
 def _is_slot_use(value: object) -> bool:
     return (
         isinstance(value, list)
@@ -205,9 +226,7 @@
             if node != member.node and other.link_address == member.link_address:
                 self._forget_member(node)
         self.member_by_node[member.node] = member
-        peer = self._view.peer_by_node.get(member.node)
-        if peer is None or peer.service != member.service or peer.zone != member.zone:
-            self._view.peer_by_node[member.node] = Peer(member.node, member.zone, member.service)
+        self._view.add(member.node, member.zone, member.service)
         address = Address.parse(member.link_address)
         self._links.peers_by_node[member.node] = PeerAddress(address, member.incarnation)
 
@@ -221,7 +240,7 @@
 
     def _forget_member(self, node: str) -> None:
         self.member_by_node.pop(node, None)
-        self._view.peer_by_node.pop(node, None)
+        self._view.remove(node)
         self.unreachable_since.pop(node, None)
         self._links.forget_peer(node)
 
@@ -301,8 +320,7 @@
         peer = self._view.peer_by_node.get(node)
         if peer is None:
             return
-        peer.ready = state.ready
-        peer.endpoint_id = state.endpoint_id
+        peer.apply_state(state.endpoint, state.ready, state.leaving, monotonic())
         peer.use_by_service = state.use_by_service
         peer.apply_load_report(state.load, monotonic())
         if self.unreachable_since.pop(node, None) is not None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/request_log.py
@@ -14,6 +14,7 @@
 from pollenglade_core.calls.call import CallContext
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
+from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
 
@@ -112,13 +113,10 @@
             ms=round((now - call.started_at) * 1000, 1),
         )
 
-    def on_attempt_failed(
-        self, call: LoggedAttempt, refusal: Refusal, load: tuple[float, ...]
-    ) -> None:
+    def on_attempt_failed(self, call: LoggedAttempt, refusal: Refusal, load: EndpointLoad) -> None:
         """Log an attempt at the local endpoint that ended without a response."""
         if not self._is_within_line_limit(f"attempt-{refusal.reason.value}", monotonic()):
             return
-        running, waiting, limit = load[:3]
         log.info(
             "attempt",
             request=call.request_id.decode("latin-1"),
@@ -126,9 +124,10 @@
             decision=refusal.reason.value,
             outcome=refusal.outcome.value,
             detail=refusal.detail or None,
-            running=running,
-            waiting=waiting,
-            limit=limit,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            rate_limit=load.rate_limit,
             left_ms=round(call.context.remaining_s(monotonic()) * 1000),
         )
 
