Stop sending to an endpoint that states that it is leaving

Cause: that an endpoint leaves was known only from its heartbeats and its deregistration; Server-Leaving in its answers was passed on and believed by nobody. After a restart its node forgot also the acknowledged leaving, and a late heartbeat made the endpoint ready again at all nodes.

Change: the three sources set the same state in one place, the endpoint's record.

--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -147,6 +147,8 @@
             self._rate_limit.apply_health_check(statement, sent_at, now)
         else:
             self._rate_limit.apply(statement, sent_at, now)
+        if statement.leaving:
+            self.mark_leaving(endpoint.endpoint_id, now)
 
     def _is_current(self, endpoint: EndpointIdentity) -> bool:
         incarnation_matches = endpoint.incarnation in (
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -16,6 +16,7 @@
 from pollenglade_core.dispatch.tree_cost import TreeCosts
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.dispatch.tree_cost import add_usage
+from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 
 
 def make_view(*zones: str) -> PeerView:
@@ -59,6 +60,31 @@
         self.assertEqual(self.choose_node(view, excluded=("node-c",)), "")
         self.assertEqual(self.choose_node(view, now=8.0), "")
 
+    def test_a_departed_endpoint_is_used_again_because_its_node_forgot_the_departure(self) -> None:
+        """A restarted node may apply a late heartbeat and report the endpoint as ready."""
+        view = PeerView("a")
+        view.add("node-a", "a", "jury")
+        endpoint = EndpointIdentity("i-1", 1000)
+        view.peer_by_node["node-a"].apply_state(endpoint, ready=False, leaving=True, now=0.0)
+        view.remove("node-a")
+        view.add("node-a", "a", "jury")
+        peer = view.peer_by_node["node-a"]
+        peer.apply_state(endpoint, ready=True, leaving=False, now=9.0)
+        self.assertFalse(peer.ready)
+        peer.apply_state(EndpointIdentity("i-1", 2000), ready=True, leaving=False, now=9.1)
+        self.assertTrue(peer.ready)
+
+    def test_a_rate_limited_endpoint_gets_the_requests_that_its_slots_permit(self) -> None:
+        view = make_view("a", "b")
+        view.peer_by_node["node-a"].apply_load_report(
+            EndpointLoad(2, 3, 10, 0.02, rate_limit=5.0), 0.0
+        )
+        self.assertEqual(view.slots("jury", 0.1), 10 + 5.0 * 0.02)
+        self.assertEqual(self.choose_node(view), "node-b")
+        view.peer_by_node["node-b"].ready = False
+        view.peer_by_node["node-a"].apply_load_report(EndpointLoad(rate_limit=0.0), 0.0)
+        self.assertEqual(self.choose_node(view), "")
+
     def test_a_failing_endpoint_is_avoided_until_its_failure_rate_decays(self) -> None:
         """Fast failures look like a short expected time and would attract requests."""
         view = make_view("a", "b")
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -9,6 +9,8 @@
 from pollenglade_core.serving.endpoint_record import EndpointReport
 from pollenglade_core.serving.endpoint_record import LocalEndpointState
 from pollenglade_core.serving.endpoint_record import ReportResult
+from pollenglade_core.serving.endpoint_statement import EndpointIdentity
+from pollenglade_core.serving.endpoint_statement import EndpointStatement
 
 REPORT = EndpointReport("i-1", "calls", "10.0.0.1:80", 8, False, incarnation=100, sequence=5)
 
@@ -74,3 +76,37 @@
         fresh = EndpointRecord("calls")
         self.assertTrue(fresh.apply_health_check("i-9", "10.0.0.1:80", 8))
         self.assertTrue(fresh.is_ready)
+
+    def state(
+        self, statement: EndpointStatement, endpoint_id: str = "i-1", incarnation: int = 100
+    ) -> None:
+        """Apply the statement of a response of an endpoint."""
+        endpoint = EndpointIdentity(endpoint_id, incarnation)
+        self.record.apply_statement(statement, endpoint, 0.5, 1.0)
+
+    def test_a_heartbeat_restores_an_endpoint_that_stated_that_it_leaves(self) -> None:
+        self.state(EndpointStatement(leaving=True))
+        self.assertFalse(self.record.is_ready)
+        self.assertIs(self.apply(sequence=9), ReportResult.ALREADY_LEFT)
+        self.assertFalse(self.record.is_ready)
+
+    def test_a_late_response_of_the_former_endpoint_counts_for_its_successor(self) -> None:
+        self.apply(endpoint_id="i-2", incarnation=200, sequence=1)
+        self.state(EndpointStatement(5.0, leaving=True))
+        self.assertTrue(self.record.is_ready)
+        self.assertIsNone(self.record.rate_limit)
+
+    def test_the_limit_of_an_endpoint_outlives_its_incarnation(self) -> None:
+        self.state(EndpointStatement(5.0))
+        self.assertEqual(self.record.rate_limit, 5.0)
+        self.apply(sequence=6)
+        self.assertEqual(self.record.rate_limit, 5.0)
+        self.apply(incarnation=200, sequence=1)
+        self.assertIsNone(self.record.rate_limit)
+
+    def test_the_first_heartbeat_after_a_health_check_drops_the_limit(self) -> None:
+        self.record = EndpointRecord("calls")
+        self.record.apply_health_check("i-1", "10.0.0.1:80", 8)
+        self.state(EndpointStatement(5.0), incarnation=-1)
+        self.apply()
+        self.assertEqual(self.record.rate_limit, 5.0)
