Give the event loop its turn while a server sends bytes without end

Cause: the client connection processed event after event of all bytes that one read returned, and nothing counted the interim responses of a request.

Change: after 64 events the loop gets its turn and reading pauses; 16 interim responses, 16 late duplicates or 1 MiB of their bodies end the request. What arrived before the connection was lost is still processed.

--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -34,6 +34,18 @@
 MAX_EARLIER_TAGS = 16
 """Number of earlier request tags that a connection remembers to detect late duplicate responses."""
 
+MAX_INTERIM_RESPONSES = 16
+"""Number of informational responses to one request; a server needs at most a few."""
+
+MAX_DISCARDED_RESPONSES = 16
+"""Number of late duplicate responses that are discarded before the response to a request."""
+
+MAX_DISCARDED_BYTES = 1024 * 1024
+"""Size of the bodies of late duplicate responses that are read before a response."""
+
+MAX_EVENTS_PER_TURN = 64
+"""Number of parsed events after which the event loop gets its turn; they take about 1 ms."""
+
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
 LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -81,7 +93,14 @@
         self._tag_field = b""
         self._earlier_tags: deque[bytes] = deque(maxlen=MAX_EARLIER_TAGS)
         self._discarding_response = False
+        self._interim_responses = 0
+        self._discarded_responses = 0
+        self._discarded_bytes = 0
+        self._sink_paused = False
         self._reading_paused = False
+        self._continuation: asyncio.Handle | None = None
+        self._lost = False
+        self._loss: Exception | None = None
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
 
@@ -97,12 +116,21 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._pool.discard(self)
-        if self._sink is not None:
-            if exc is None:
-                # A body without a length ends only with an orderly close, not with an error.
-                self._h11.receive_data(b"")
-                self._process_events()
-            self._fail_response(FailureReason.CLOSED, str(exc or "connection closed by the server"))
+        self._lost, self._loss = True, exc
+        if self._continuation is None:
+            self._end_after_loss()
+
+    def _end_after_loss(self) -> None:
+        """End the response once all bytes that arrived before the loss have been processed."""
+        if self._sink is None:
+            return
+        if self._loss is None:
+            # A body without a length ends only with an orderly close, not with an error.
+            self._h11.receive_data(b"")
+            while self._process_event():
+                pass
+        detail = str(self._loss or "connection closed by the server")
+        self._fail_response(FailureReason.CLOSED, detail)
 
     def eof_received(self) -> bool:
         return False
@@ -113,7 +141,8 @@
             self.abort()
             return
         self._h11.receive_data(data)
-        self._process_events()
+        if self._continuation is None:
+            self._process_events()
 
     def send(
         self,
@@ -137,6 +166,7 @@
         """
         assert self._transport is not None and self._sink is None
         self._sink = sink
+        self._interim_responses = self._discarded_responses = self._discarded_bytes = 0
         fields = headers
         if body or method in ("POST", "PUT", "PATCH"):
             fields = [*headers, (b"content-length", b"%d" % len(body))]
@@ -176,30 +206,69 @@
         self._h11.send(END_OF_MESSAGE)
 
     def _process_events(self) -> None:
-        while self._sink is not None:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                self._fail_response(FailureReason.PROTOCOL, str(error))
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                headers = lower_case_fields(event.headers)
-                self._update_idle_limit(headers)
-                self._discarding_response = self._answers_earlier_request(headers)
-                if not self._discarding_response:
-                    self._sink.on_head(event.status_code, headers)
-            elif isinstance(event, h11.Data):
-                if not self._discarding_response:
-                    self._sink.on_data(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                if not self._discarding_response:
-                    self._complete_response()
-                    return
-                self._await_next_response()
-            elif isinstance(event, h11.ConnectionClosed):
+        """Process the bytes received so far; other callbacks run in between if they are many."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._process_event():
                 return
+        self._continuation = asyncio.get_running_loop().call_soon(self._continue)
+        self._update_reading()
+
+    def _continue(self) -> None:
+        self._continuation = None
+        self._process_events()
+        if self._continuation is None:
+            self._update_reading()
+            if self._lost:
+                self._end_after_loss()
+
+    def _process_event(self) -> bool:
+        """Process one event; return whether there may be another one."""
+        if self._sink is None:
+            return False
+        try:
+            event = self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            self._fail_response(FailureReason.PROTOCOL, str(error))
+            return False
+        if isinstance(event, h11.Response):
+            self._on_response_head(event, self._sink)
+        elif isinstance(event, h11.Data):
+            self._on_body(bytes(event.data), self._sink)
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_response_end()
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._fail_response(FailureReason.PROTOCOL, "too many informational responses")
+        else:
+            # There are no further events before more data or the end of the connection.
+            return False
+        return True
+
+    def _on_response_head(self, event: h11.Response, sink: ResponseSink) -> None:
+        headers = lower_case_fields(event.headers)
+        self._update_idle_limit(headers)
+        self._discarding_response = self._answers_earlier_request(headers)
+        if not self._discarding_response:
+            sink.on_head(event.status_code, headers)
+            return
+        self._discarded_responses += 1
+        if self._discarded_responses > MAX_DISCARDED_RESPONSES:
+            self._fail_response(FailureReason.PROTOCOL, "too many late duplicate responses")
+
+    def _on_body(self, data: bytes, sink: ResponseSink) -> None:
+        if not self._discarding_response:
+            sink.on_data(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail_response(FailureReason.PROTOCOL, "a late duplicate response is too large")
+
+    def _on_response_end(self) -> None:
+        if self._discarding_response:
+            self._await_next_response()
+        else:
+            self._complete_response()
 
     def _answers_earlier_request(self, headers: Headers) -> bool:
         if not self._tag_field or not self._earlier_tags:
@@ -273,19 +342,26 @@
 
     def pause(self) -> None:
         """Pause reading from the server until `resume` is called."""
-        if self._transport is not None and not self._reading_paused:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        self._sink_paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Resume reading from the server."""
-        if (
-            self._reading_paused
-            and self._transport is not None
-            and not self._transport.is_closing()
-        ):
-            self._reading_paused = False
+        self._sink_paused = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read from the server unless the sink is paused or received bytes await processing."""
+        paused = self._sink_paused or self._continuation is not None
+        if self._transport is None or paused is self._reading_paused:
+            return
+        if paused:
+            self._transport.pause_reading()
+        elif self._transport.is_closing():
+            return
+        else:
             self._transport.resume_reading()
+        self._reading_paused = paused
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- /dev/null
+++ b/packages/pollenglade-net/tests/test_net/test_endless_responses.py
@@ -0,0 +1,126 @@
+"""Guards against servers whose bytes never end and keep the event loop or the memory busy."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
+from time import monotonic
+
+from pollenglade_net.address import Address
+from pollenglade_net.http_client import HttpClient
+from pollenglade_net.http_message import FailureReason
+from pollenglade_net.http_message import HttpFailure
+from pollenglade_net.http_message import HttpResponse
+
+MAX_STALL_S = 0.25
+"""Time in seconds for which other callbacks may be kept waiting; a late node shows at 0.25 s."""
+
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+class StallClock:
+    """Measures the longest time between two turns of the event loop."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        at = monotonic()
+        while True:
+            await asyncio.sleep(0.005)
+            previous_at, at = at, monotonic()
+            self.longest_s = max(self.longest_s, at - previous_at)
+
+    def close(self) -> None:
+        """Stop measuring."""
+        self._task.cancel()
+
+
+class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
+    """A server that sends a head and then the same bytes again and again."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HttpClient()
+        self.addAsyncCleanup(self.client.close)
+        self.clock = StallClock()
+        self.addCleanup(self.clock.close)
+        self.sent_bytes = 0
+
+    async def start_server(self, head: bytes, repeated: bytes) -> Address:
+        """Start a server that sends `head` and then `repeated` until the client closes."""
+        block = repeated * max(1, 65536 // len(repeated))
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            try:
+                while not writer.is_closing():
+                    writer.write(block)
+                    await writer.drain()
+                    self.sent_bytes += len(block)
+            except ConnectionError:
+                pass
+            finally:
+                writer.close()
+
+        return await self._listen(serve)
+
+    async def _listen(
+        self, serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+    ) -> Address:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        return Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+    async def request(self, address: Address, limit_bytes: int = 1024 * 1024) -> HttpFailure:
+        """Send a request with a time limit of 1 s and return its failure."""
+        started_at = monotonic()
+        result = await self.client.request(
+            address, "GET", "/", timeout_s=1.0, limit_bytes=limit_bytes
+        )
+        self.assertLess(monotonic() - started_at, 1.0 + MAX_STALL_S)
+        self.assertLess(self.clock.longest_s, MAX_STALL_S)
+        assert isinstance(result, HttpFailure), result
+        return result
+
+    async def test_endless_informational_responses_hold_the_event_loop(self) -> None:
+        failure = await self.request(await self.start_server(b"", INTERIM))
+        self.assertIs(failure.reason, FailureReason.PROTOCOL)
+        self.assertLess(self.sent_bytes, 8 * 1024 * 1024)
+
+    async def test_endless_tiny_chunks_hold_the_event_loop(self) -> None:
+        await self.request(await self.start_server(CHUNKED_HEAD, b"1\r\nx\r\n"))
+
+    async def test_endless_head_lines_hold_the_event_loop(self) -> None:
+        failure = await self.request(await self.start_server(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"))
+        self.assertIs(failure.reason, FailureReason.PROTOCOL)
+
+    async def test_a_request_cannot_be_cancelled_while_bytes_come_without_end(self) -> None:
+        address = await self.start_server(CHUNKED_HEAD, b"1\r\nx\r\n")
+        task = asyncio.create_task(self.client.request(address, "GET", "/", timeout_s=5.0))
+        await asyncio.sleep(0.2)
+        cancelled_at = monotonic()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertLess(monotonic() - cancelled_at, MAX_STALL_S)
+
+    async def test_a_response_of_many_chunks_that_ends_with_its_connection_is_lost(self) -> None:
+        """The connection closes while chunks still await processing."""
+        body = b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CHUNKED_HEAD + body)
+            await writer.drain()
+            writer.close()
+
+        address = await self._listen(serve)
+        result = await self.client.request(address, "GET", "/", timeout_s=10.0)
+        assert isinstance(result, HttpResponse), result
+        self.assertEqual(len(result.body), 20_000)
+        self.assertLess(self.clock.longest_s, MAX_STALL_S)
