--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -7,6 +7,7 @@
 from .address import Address
 from .client_connection import CONNECT_TIMEOUT_S
 from .client_connection import MAX_IDLE_S
+from .client_connection import ClientConnection
 from .client_connection import ConnectionPool
 from .http_message import FailureReason
 from .http_message import Headers
@@ -17,9 +18,13 @@
 
 
 class _ResponseCollector:
-    """Response sink that sets the result of a future to the complete response."""
+    """Response sink that sets the result of a future to the complete response.
 
-    def __init__(self, limit_bytes: int) -> None:
+    A body above the limit ends the request and its connection at once.
+    """
+
+    def __init__(self, connection: ClientConnection, limit_bytes: int) -> None:
+        self._connection = connection
         loop = asyncio.get_running_loop()
         self.result: asyncio.Future[HttpResponse | HttpFailure] = loop.create_future()
         self._status = 0
@@ -36,11 +41,13 @@
         self._received_bytes += len(data)
         if self._received_bytes <= self._limit_bytes:
             self._chunks.append(data)
+            return
+        detail = f"the body is larger than {self._limit_bytes} bytes"
+        self.on_failure(HttpFailure(FailureReason.TOO_LARGE, True, detail))
+        self._connection.cancel(self)
 
     def on_end(self) -> None:
-        if self._received_bytes > self._limit_bytes:
-            self.on_failure(HttpFailure(FailureReason.TOO_LARGE, True))
-        elif not self.result.done():
+        if not self.result.done():
             body = b"".join(self._chunks)
             self.result.set_result(HttpResponse(self._status, self._headers, body))
 
@@ -81,7 +88,7 @@
             if isinstance(connect_result, HttpFailure):
                 return connect_result
             connection = connect_result
-        collector = _ResponseCollector(limit_bytes)
+        collector = _ResponseCollector(connection, limit_bytes)
         fields = [(b"host", (host or str(address)).encode()), *(headers or [])]
         remaining_s = max(deadline - loop.time(), 0.001)
         connection.send(method, target.encode(), fields, body, collector, remaining_s)
--- a/packages/pollenglade-net/tests/test_net/test_endless_responses.py
+++ b/packages/pollenglade-net/tests/test_net/test_endless_responses.py
@@ -93,6 +93,12 @@
         self.assertIs(failure.reason, FailureReason.PROTOCOL)
         self.assertLess(self.sent_bytes, 8 * 1024 * 1024)
 
+    async def test_a_body_above_the_limit_is_read_until_the_timeout(self) -> None:
+        block = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+        failure = await self.request(await self.start_server(CHUNKED_HEAD, block))
+        self.assertIs(failure.reason, FailureReason.TOO_LARGE)
+        self.assertLess(self.sent_bytes, 16 * 1024 * 1024)
+
     async def test_endless_tiny_chunks_hold_the_event_loop(self) -> None:
         await self.request(await self.start_server(CHUNKED_HEAD, b"1\r\nx\r\n"))
 
