Stop reading an invalid response that exceeds its buffer

Cause: a response that is not forwarded was buffered until its end, bounded only by the time limit of the request; an endpoint that sends bytes without end would fill the memory of its node (300 MB there, 295 MB a second measured on loopback).

Change: where the buffer for whole responses is exceeded and the response is invalid, the call fails at once and its connection is closed.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -207,8 +207,7 @@
     def _start_streaming(self) -> None:
         refusal = check_response(self._owner.names, self.request_id, self._status, self._headers)
         if refusal is not None or self._sink is None:
-            # `on_end` replaces an invalid response by a refusal, so it is buffered until its end.
-            # Only the time limit of the request bounds the buffer.
+            self._stop_reading(refusal)
             return
         self._streaming = True
         self._sink.on_head(self._status, end_to_end_headers(self._headers))
@@ -216,6 +215,17 @@
         for chunk in chunks:
             self._relay(chunk)
 
+    def _stop_reading(self, refusal: Refusal | None) -> None:
+        """End a response that is not forwarded and may have no end; close its connection."""
+        self._buffered_chunks.clear()
+        if self._connection is not None:
+            self._connection.cancel(self)
+        if refusal is None:
+            self._owner.on_ended(self, completed=False)
+            return
+        self._owner.record_result(failed=not self.nested_failed)
+        self._fail(refusal)
+
     def _relay(self, data: bytes) -> None:
         self._relay_window.on_sent(len(data), self._connection)
         if self._sink is not None:
