--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -58,6 +58,9 @@
 PROBE_TIMEOUT_S = 0.5
 """Time limit in seconds for a crash probe or a health request to the endpoint on the same host."""
 
+MAX_HEALTH_RESPONSE_BYTES = 64 * 1024
+"""Size above which the body of a response to a health request is not read."""
+
 LIMIT_CHECK_INTERVAL_S = 2.5
 """Time in seconds without a response after which the health path of an endpoint with a rate limit
 is queried. A limit may be so low that no request is sent whose response could lift it."""
@@ -231,7 +234,11 @@
         self._queue.on_health_check(monotonic())
         self.sent_count += 1
         return await self._health_client.request(
-            self._address, "GET", self._health_path, timeout_s=PROBE_TIMEOUT_S
+            self._address,
+            "GET",
+            self._health_path,
+            timeout_s=PROBE_TIMEOUT_S,
+            limit_bytes=MAX_HEALTH_RESPONSE_BYTES,
         )
 
     async def discover_endpoint(self, health_path: str) -> None:
