Ask the peers before the first manifest of the store is applied

Cause: a node that has just started took whatever version the store returned. After a return of the store from an older copy, or a stale read, that may be one in which a withdrawn key is still valid, until a peer's state arrives (0.75 s at most).

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -91,7 +91,9 @@
         self.peers = PeerExchange(
             self.member, self._links, self.view, self._current_state, random_source
         )
-        self.policy = PolicyExchange(decode, self._links)
+        self.policy = PolicyExchange(
+            decode, self._links, lambda: self.peers.other_nodes, random_source
+        )
         self._retry_budgets = ServiceRetryBudgets(settings.retries, monotonic())
         self._token_broker = TokenBroker(
             settings.node, self._links, settings.allowance, settings.first_start, random_source
@@ -273,6 +275,7 @@
         """Close all ports and connections, and cancel background tasks."""
         self._loop_delay.close()
         self.peers.close()
+        self.policy.close()
         await self._server.close()
         await self.serving.close()
         await self._links.close()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -194,6 +194,11 @@
         """Node names of all members including this node, reachable or not."""
         return list(self.member_by_node)
 
+    @property
+    def other_nodes(self) -> list[str]:
+        """Node names of all other members, reachable or not."""
+        return [node for node in self.member_by_node if node != self._local_member.node]
+
     def is_alive(self, node: str) -> bool:
         """Whether a load report of the node arrived within the last three state intervals.
 
