--- a/packages/pollenglade-core/src/pollenglade_core/serving/request_rate.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/request_rate.py
@@ -4,9 +4,9 @@
 
 from math import inf
 
-BURST_S = 0.1
+BURST_S = 0.25
 """Time in seconds for which an unused rate accumulates. A short time keeps every window of a few
-seconds close to the limit, and bridges the interval at which waiting requests are started."""
+seconds close to the limit; a shorter one loses more of the rate where requests arrive unevenly."""
 
 
 class RequestRate:
