Send a rejected request again on another connection only

Callers could be told that a request has not run while it ran: an endpoint that sends a second copy of its rejection, late, answers with it the same request sent again.

Cause: late copies are told by the id that they echo, and a request that is placed again at the endpoint that rejected it has the same id, on the connection that was used last.

Change: a connection that has carried an id is not used for it again.

--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -109,6 +109,10 @@
         """Whether the connection is open and can send a request."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def has_carried(self, tag: bytes) -> bool:
+        """Whether one of the latest requests on the connection had this tag."""
+        return tag in self._earlier_tags
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
@@ -274,7 +278,6 @@
         if not self._tag_field or not self._earlier_tags:
             return False
         tag = next((value for key, value in headers if key == self._tag_field), self._tag)
-        # A shed request may be sent again with the same tag on the same connection.
         return tag != self._tag and tag in self._earlier_tags
 
     def _await_next_response(self) -> None:
@@ -401,16 +404,24 @@
         self._max_idle = max_idle
         self._open_connections: set[ClientConnection] = set()
 
-    def acquire(self, address: Address, max_idle_s: float = MAX_IDLE_S) -> ClientConnection | None:
-        """Remove and return an idle connection last used within `max_idle_s`, or return None."""
+    def acquire(
+        self, address: Address, max_idle_s: float = MAX_IDLE_S, tag: bytes = b""
+    ) -> ClientConnection | None:
+        """Remove and return an idle connection last used within `max_idle_s`, or return None.
+
+        A connection that has carried a request with the same `tag` is not returned, because a late
+        duplicate of the response to it would be taken for the response to the next one.
+        """
         idle_connections = self._idle_by_address.get(address)
         now = asyncio.get_running_loop().time()
-        while idle_connections:
-            connection = idle_connections.pop()
+        for connection in reversed(list(idle_connections or ())):
             limit_s = min(max_idle_s, connection.idle_limit_s)
-            if connection.is_open and now - connection.idle_since <= limit_s:
+            if not connection.is_open or now - connection.idle_since > limit_s:
+                connection.abort()
+            elif not tag or not connection.has_carried(tag):
+                assert idle_connections is not None
+                idle_connections.remove(connection)
                 return connection
-            connection.abort()
         return None
 
     async def connect(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -315,7 +315,7 @@
         self._crash_ledger.on_call_started(call.context, str(self._address))
         # A long-idle connection may be dead without notice, so only idempotent calls use one.
         max_idle_s = MAX_IDLE_S if call.context.idempotent else NON_RETRYABLE_MAX_IDLE_S
-        call.start(self.pool.acquire(self._address, max_idle_s))
+        call.start(self.pool.acquire(self._address, max_idle_s, call.request_id))
 
     def running_call(self, request_id: bytes) -> EndpointCall | None:
         """Return the call with this request id that runs at the endpoint, or None."""
