Count a peer as silent only for the time in which it was asked

Cause: the node that maintains the store removed the row of a peer that had been unreachable for 15 s by the clock. A node that was paused for some seconds just after a peer had failed to answer removed the row of a live peer as it went on; all nodes then drop that member and abort the links to it, with the requests on them.

Change: each failed query adds at most 2 s to the silence of a peer.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -231,7 +231,7 @@
         now = monotonic()
         return {
             "members": len(self.peers.nodes),
-            "members_unreachable": len(self.peers.unreachable_since),
+            "members_unreachable": len(self.peers.silent_nodes()),
             "endpoints_usable": sum(
                 peer.is_usable(now) for peer in self.view.peer_by_node.values()
             ),
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -33,6 +33,13 @@
 MAX_STATES_PER_S = 64.0
 """Upper bound on state messages per second of one node; a larger mesh uses a longer interval."""
 
+MAX_SILENCE_STEP_S = 2.0
+"""Largest time in seconds that one failed query adds to the silence of a peer.
+
+More has passed between two of them if this process stood still, and a peer that was not asked
+meanwhile was not silent.
+"""
+
 PUSH_DELAY_S = 0.01
 """Time in seconds in which changes are batched before a state message to all peers."""
 
@@ -156,6 +163,14 @@
     )
 
 
+@dataclass(slots=True)
+class _Silence:
+    """Time in seconds for which a peer has left queries unanswered."""
+
+    last_failure_at: float
+    seconds: float = 0.0
+
+
 class PeerExchange:
     """Maintains the member list and exchanges state messages with all members.
 
@@ -181,7 +196,7 @@
         self._push_timer: asyncio.TimerHandle | None = None
         self._queried_nodes: set[str] = set()
         self.member_by_node: dict[str, MeshMember] = {local_member.node: local_member}
-        self.unreachable_since: dict[str, float] = {}
+        self._silence_by_node: dict[str, _Silence] = {}
         self.on_members_changed: Callable[[], None] = lambda: None
         self.on_peer_state: Callable[[str, int], None] = lambda node, version: None
 
@@ -199,6 +214,10 @@
         """Node names of all other members, reachable or not."""
         return [node for node in self.member_by_node if node != self._local_member.node]
 
+    def silent_nodes(self) -> dict[str, float]:
+        """Return the time in seconds for which each unreachable node has not answered."""
+        return {node: silence.seconds for node, silence in self._silence_by_node.items()}
+
     def is_alive(self, node: str) -> bool:
         """Whether a load report of the node arrived within the last three state intervals.
 
@@ -246,7 +265,7 @@
     def _forget_member(self, node: str) -> None:
         self.member_by_node.pop(node, None)
         self._view.remove(node)
-        self.unreachable_since.pop(node, None)
+        self._silence_by_node.pop(node, None)
         self._links.forget_peer(node)
 
     def push(self) -> None:
@@ -302,9 +321,13 @@
             return
         now = monotonic()
         peer.avoided_until = now + LINK_FAILURE_AVOIDANCE_S
-        if node not in self.unreachable_since:
-            self.unreachable_since[node] = now
+        silence = self._silence_by_node.get(node)
+        if silence is None:
+            self._silence_by_node[node] = _Silence(now)
             log.warning("peer_lost", peer=node)
+            return
+        silence.seconds += min(MAX_SILENCE_STEP_S, now - silence.last_failure_at)
+        silence.last_failure_at = now
 
     def on_query(self, payload: object, reply: Callable[[object], None]) -> None:
         """Apply the state of a peer and reply with this node's state."""
@@ -328,7 +351,7 @@
         peer.apply_state(state.endpoint, state.ready, state.leaving, monotonic())
         peer.use_by_service = state.use_by_service
         peer.apply_load_report(state.load, monotonic())
-        if self.unreachable_since.pop(node, None) is not None:
+        if self._silence_by_node.pop(node, None) is not None:
             peer.avoided_until = float("-inf")
             log.info("peer_regained", peer=node)
         self.on_peer_state(node, state.policy_version)
