Wait in a planned stop until responses have left the process

Callers who read slowly got a broken response from a node that was stopped as planned.

Cause: the stop ended once no request was open, and a request is no longer open when its response has been written to the buffer of its connection. The process ended with the rest of that buffer. The same holds for results on links to other nodes.

Change: unsent output of callers' connections and of links counts as unfinished work, within the same limit.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -75,6 +75,11 @@
         """Whether no request is being received or processed."""
         return self._exchange is None and self._request is None
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether a part of a response has not been passed to the operating system yet."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def _is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
@@ -369,6 +374,11 @@
         )
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether a caller has still to read a part of a response that has been written."""
+        return any(connection.has_unsent_output for connection in self.connections)
+
     def track_connection(self, connection: ServerConnection) -> None:
         """Add an open connection and check it for timeouts until it closes."""
         self.connections.add(connection)
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -121,6 +121,13 @@
         """Whether the peer may be running calls from this end, including cancelled ones."""
         return bool(self._outgoing_call_by_stream) or self._last_cancel_at is not None
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether a part of a message has not been passed to the operating system yet."""
+        if self._transport is None:
+            return False
+        return bool(self._pending_messages) or self._transport.get_write_buffer_size() > 0
+
     @property
     def is_busy(self) -> bool:
         """Whether any call is open in either direction."""
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -295,6 +295,12 @@
         """Number of open links in both directions."""
         return len(self._link_by_node) + len(self._accepted_links)
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether any peer has still to read messages that have been written."""
+        links = [*self._link_by_node.values(), *self._accepted_links]
+        return any(link.has_unsent_output for link in links)
+
     @property
     def is_busy(self) -> bool:
         """Whether any link has open calls."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -265,12 +265,20 @@
         limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
         while monotonic() - started_at < limit_s:
             self._entry.is_closing = monotonic() - started_at > DRAIN_LINGER_S
-            busy = self._entry.is_busy or self.serving.is_busy
-            if self._entry.is_closing and not busy:
+            if self._entry.is_closing and not self._has_unfinished_work():
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
+    def _has_unfinished_work(self) -> bool:
+        """Whether requests or calls are running, or responses to them have not been read yet."""
+        return (
+            self._entry.is_busy
+            or self.serving.is_busy
+            or self._server.has_unsent_output
+            or self._links.has_unsent_output
+        )
+
     async def close(self) -> None:
         """Close all ports and connections, and cancel background tasks."""
         self._loop_delay.close()
