Leave half of a planned stop to finish what was accepted

Callers lost requests at a stop with a short grace period: those that were accepted shortly before its end were cut off without an answer.

Cause: new requests are accepted for 2.3 s after SIGTERM, also where the process has to end before; the soak with signals showed it at GraceS=3.

Change: they are accepted for at most half of the time that a stop may take.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -48,6 +48,10 @@
 """Time in seconds after SIGTERM in which clients detect that the node is not ready; requests on
 kept-alive connections are served until then."""
 
+MAX_LINGER_FRACTION = 0.5
+"""Largest fraction of the time for a stop in which new requests are accepted; the rest is left to
+finish them."""
+
 STOP_MARGIN_S = 0.8
 """Time in seconds before the end of the grace period at which remaining work is cancelled."""
 
@@ -263,8 +267,9 @@
         self._server.drain()
         self._on_endpoint_changed()
         limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
+        linger_s = min(DRAIN_LINGER_S, limit_s * MAX_LINGER_FRACTION)
         while monotonic() - started_at < limit_s:
-            self._entry.is_closing = monotonic() - started_at > DRAIN_LINGER_S
+            self._entry.is_closing = monotonic() - started_at > linger_s
             if self._entry.is_closing and not self._has_unfinished_work():
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
