--- a/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
@@ -11,6 +11,7 @@
 from pollenglade_core.admission.quarantine import CrashLedger
 from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
+from pollenglade_net.link_message import MAX_CONTAINER_ITEMS
 
 from ..membership.links import Links
 
@@ -23,13 +24,8 @@
 More than one, because a peer may have missed a notice itself.
 """
 
-MAX_LEDGER_NOTICES = 5_000
-"""Maximum number of notices in one message; the latest are sent.
-
-A notice takes about 100 bytes, so the message is far below `MAX_MESSAGE_BYTES` (16 MiB and 64 KiB).
-`MAX_CONTAINER_ITEMS` is the lower limit: a peer that receives more than 1,024 notices in one array
-closes the link.
-"""
+MAX_LEDGER_NOTICES = MAX_CONTAINER_ITEMS
+"""Maximum number of notices in one message; the latest are sent. A peer closes the link on more."""
 
 
 class CrashNotices:
