Bring about the failures that the test of true refusals has to cover

Cause: whether a payment ran at the target as it was killed or paused was left to chance, so that the check of coverage failed (unknown outcomes without target-failed or timeout), and the check of the promise behind it was not reached.

Change: target and process are killed or paused while a long payment is known to run there. The promise is checked first, in every run; the check of coverage is as strict as before.

--- a/tests/test_system/test_true_refusals.py
+++ b/tests/test_system/test_true_refusals.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from random import Random
+from time import monotonic
 
 import orjson
 from support.system import REQUEST_HEADER
@@ -22,6 +23,8 @@
 from pollenglade_emulator.processes import ManagedProcess
 from pollenglade_emulator.processes import NodeProcess
 from pollenglade_emulator.processes import TargetProcess
+from pollenglade_emulator.records import Execution
+from pollenglade_emulator.run_log import read_run_log
 from pollenglade_net.address import Address
 from pollenglade_net.http_message import HttpResponse
 
@@ -30,6 +33,16 @@
 PAUSE_S = 2.6
 """Longer than the deadline of 2 s, so that calls have expired when the process resumes."""
 
+PAYMENT_TIMEOUT_S = 10.0
+LONG_WORK_MS = 150
+PROXIED_LOG = "proxied.log"
+
+
+def is_long_payment_running(run: Execution) -> bool:
+    """Whether a payment has started and cannot have ended, as most of its work is left."""
+    is_long = (WORK_HEADER.decode(), str(LONG_WORK_MS)) in run.headers
+    return run.method == "POST" and is_long and monotonic() - run.start_s < LONG_WORK_MS / 2000
+
 
 @dataclass
 class ProxiedTarget:
@@ -42,7 +55,7 @@
     @classmethod
     async def start(cls, system: System, node: NodeProcess) -> ProxiedTarget:
         """Start a target and its proxy, and announce the address of the proxy."""
-        log = ["--log-file", str(system.folder / "proxied.log")]
+        log = ["--log-file", str(system.folder / PROXIED_LOG)]
         target = await system.processes.start_target("proxied", "fees", None, [*log, *SLOTS])
         listen, control = system.processes.free_address(), system.processes.free_address()
         command = ["-m", "pollenglade_emulator", "proxy", "--upstream", str(target.address)]
@@ -91,17 +104,17 @@
             name for name, (outcome, _) in self.results_by_call.items() if outcome == "not-run"
         ]
         counts = Counter(outcome for outcome, _ in self.results_by_call.values())
+        self.assertEqual(
+            [], [(name, *self.results_by_call[name]) for name in refused if runs[name]]
+        )
+        ran = [name for name, (outcome, _) in self.results_by_call.items() if outcome == "ran"]
+        self.assertEqual([], [name for name in ran if not runs[name]])
         self.assertGreater(len(refused), 10, counts)
         self.assertGreater(counts["ran"], 50, counts)
         unknown_reasons = {
             reason for outcome, reason in self.results_by_call.values() if outcome == "unknown"
         }
         self.assertLessEqual({"target-failed", "timeout"}, unknown_reasons)
-        self.assertEqual(
-            [], [(name, *self.results_by_call[name]) for name in refused if runs[name]]
-        )
-        ran = [name for name, (outcome, _) in self.results_by_call.items() if outcome == "ran"]
-        self.assertEqual([], [name for name in ran if not runs[name]])
 
     async def inject_failures(
         self, system: System, target: TargetProcess, proxied: ProxiedTarget
@@ -109,6 +122,8 @@
         """Cause the failures one after the other while calls arrive."""
         entry, first, second = system.nodes
         await asyncio.sleep(0.5)
+        # Outcomes become unknown by a timeout if a payment runs at the target that stands still.
+        await self.wait_for_long_payment(system, f"{target.process.name}.log")
         await self.pause(target.process)
         await self.set_conduct(system, proxied.target, shed=True)
         await asyncio.sleep(0.5)
@@ -119,6 +134,8 @@
             await proxied.set_mode(system, "cut")
             await proxied.set_mode(system, "pass")
             await asyncio.sleep(0.2)
+        # No other target can answer a payment that has run, so its outcome becomes unknown.
+        await self.wait_for_long_payment(system, PROXIED_LOG)
         proxied.target.process.send_signal(signal.SIGKILL)
         await asyncio.sleep(0.3)
         await proxied.announcer.close()
@@ -132,6 +149,12 @@
         first.process.send_signal(signal.SIGKILL)
         await asyncio.sleep(0.3)
 
+    async def wait_for_long_payment(self, system: System, log_name: str) -> None:
+        """Wait until a long payment runs at the target with this run log."""
+        async with asyncio.timeout(PAYMENT_TIMEOUT_S):
+            while not any(map(is_long_payment_running, read_run_log(system.folder / log_name))):
+                await asyncio.sleep(0.005)
+
     async def pause(self, process: ManagedProcess) -> None:
         """Pause a process for longer than the deadline of its calls."""
         process.send_signal(signal.SIGSTOP)
@@ -154,7 +177,7 @@
             name = f"call-{caller}-{index}"
             headers = [
                 (REQUEST_HEADER, name.encode()),
-                (WORK_HEADER, b"%d" % random_source.choice((1, 20, 150))),
+                (WORK_HEADER, b"%d" % random_source.choice((1, 20, LONG_WORK_MS))),
             ]
             if random_source.random() < 0.3:
                 headers.append((b"idempotency-key", name.encode()))
