Ask no endpoint that has left for its rate limit

Cause: health checks of an endpoint with a limit went on after it had left, each 2.5 s, until another one started at its address.

Change: only an endpoint that is ready is asked.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -217,7 +217,8 @@
         self._limit_check_timer = None
         if self.record.rate_limit is None or not self._health_path:
             return
-        if monotonic() - self._last_response_at >= LIMIT_CHECK_INTERVAL_S:
+        is_silent = monotonic() - self._last_response_at >= LIMIT_CHECK_INTERVAL_S
+        if is_silent and self.record.is_ready:
             self._spawn(self._query_limit())
         self._schedule_limit_check()
 
