--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -14,6 +14,7 @@
 
 from .address import Address
 from .http_message import END_OF_MESSAGE
+from .http_message import MAX_EVENTS_PER_TURN
 from .http_message import MAX_HEAD_BYTES
 from .http_message import FailureReason
 from .http_message import Headers
@@ -43,9 +44,6 @@
 MAX_DISCARDED_BYTES = 1024 * 1024
 """Size of the bodies of late duplicate responses that are read before a response."""
 
-MAX_EVENTS_PER_TURN = 64
-"""Number of parsed events after which the event loop gets its turn; they take about 1 ms."""
-
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
 LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/packages/pollenglade-net/src/pollenglade_net/http_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_message.py
@@ -17,6 +17,9 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
 
+MAX_EVENTS_PER_TURN = 64
+"""Number of parsed events after which the event loop gets its turn; they take about 1 ms."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -13,6 +13,7 @@
 from .disconnect_detector import DisconnectDetector
 from .exchange import Exchange
 from .http_message import END_OF_MESSAGE
+from .http_message import MAX_EVENTS_PER_TURN
 from .http_message import Headers
 from .http_message import HttpRequest
 from .http_message import encode_message_head
@@ -28,9 +29,6 @@
 """Maximum time for which reading from a caller pauses. Its end of stream is not detected meanwhile,
 so this is half of the time within which work for a disconnected caller should end."""
 
-MAX_EVENTS_PER_TURN = 64
-"""Number of parsed events after which the event loop gets its turn; they take about 1 ms."""
-
 METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD"})
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"connection", b"expect"})
 """Fields that announce a body or control whether the connection stays open."""
