--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -5,10 +5,10 @@
 import asyncio
 
 from .address import Address
-from .client_connection import CONNECT_TIMEOUT_S
 from .client_connection import MAX_IDLE_S
 from .client_connection import ClientConnection
-from .client_connection import ConnectionPool
+from .connection_pool import CONNECT_TIMEOUT_S
+from .connection_pool import ConnectionPool
 from .http_message import FailureReason
 from .http_message import Headers
 from .http_message import HttpFailure
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -13,7 +13,7 @@
 from pollenglade_net.address import Address
 from pollenglade_net.async_handler import async_handler
 from pollenglade_net.client_connection import ClientConnection
-from pollenglade_net.client_connection import ConnectionPool
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import MAX_BODY_BYTES
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -31,8 +31,8 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.client_connection import MAX_IDLE_S
-from pollenglade_net.client_connection import NON_RETRYABLE_MAX_IDLE_S
-from pollenglade_net.client_connection import ConnectionPool
+from pollenglade_net.connection_pool import NON_RETRYABLE_MAX_IDLE_S
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -32,8 +32,8 @@
 from pollenglade_core.routing.routing import Router
 from pollenglade_net.address import Address
 from pollenglade_net.async_handler import async_handler
-from pollenglade_net.client_connection import ConnectionPool
 from pollenglade_net.configuration_store import ConfigurationStore
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.link_message import Hello
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving.py
@@ -24,7 +24,7 @@
 from pollenglade_core.randomness import jittered
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.client_connection import ConnectionPool
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link_message import Feedback
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -17,9 +17,9 @@
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.client_connection import MAX_IDLE_S
-from pollenglade_net.client_connection import NON_RETRYABLE_MAX_IDLE_S
 from pollenglade_net.client_connection import ClientConnection
-from pollenglade_net.client_connection import ConnectionPool
+from pollenglade_net.connection_pool import NON_RETRYABLE_MAX_IDLE_S
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.http_message import FailureReason
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
