--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -44,6 +44,7 @@
 from .recent_ids import RecentIds
 from .request_log import RequestLog
 from .response_check import WRONG_ENDPOINT_STATUS
+from .silence_check import SilenceCheck
 from .statement_fields import read_statement
 
 EXPIRY_INTERVAL_S = 0.02
@@ -100,8 +101,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._probe_task: asyncio.Task[bool] | None = None
-        self._limit_check_timer: asyncio.TimerHandle | None = None
-        self._last_response_at = 0.0
+        self._limit_check = SilenceCheck(LIMIT_CHECK_INTERVAL_S, self._check_limit)
         self._health_path = ""
         self._crash_count = 0
         self.sent_count = 0
@@ -194,7 +194,10 @@
                 sent=self.sent_count,
             )
             self._apply_actions(self._queue.set_rate_limit(self.record.rate_limit, now))
-            self._schedule_limit_check()
+            if self.record.rate_limit is None:
+                self._limit_check.close()
+            else:
+                self._limit_check.start()
         has_new_state = self.record.state is not previous_state
         if has_new_state:
             log.info(
@@ -207,20 +210,9 @@
         if has_new_limit or has_new_state:
             self.on_endpoint_changed()
 
-    def _schedule_limit_check(self) -> None:
-        if self._limit_check_timer is None and self.record.rate_limit is not None:
-            self._limit_check_timer = self._loop.call_later(
-                LIMIT_CHECK_INTERVAL_S, self._check_limit
-            )
-
     def _check_limit(self) -> None:
-        self._limit_check_timer = None
-        if self.record.rate_limit is None or not self._health_path:
-            return
-        is_silent = monotonic() - self._last_response_at >= LIMIT_CHECK_INTERVAL_S
-        if is_silent and self.record.is_ready:
+        if self.record.is_ready and self._health_path:
             self._spawn(self._query_limit())
-        self._schedule_limit_check()
 
     async def _query_limit(self) -> None:
         endpoint, sent_at = self.record.identity, monotonic()
@@ -380,9 +372,10 @@
         echoed_id = next((value for key, value in headers if key == self._names.request_id), None)
         if status == WRONG_ENDPOINT_STATUS or echoed_id != call.request_id:
             return
-        self._last_response_at = monotonic()
+        now = monotonic()
+        self._limit_check.on_response(now)
         self._apply_statement(headers, call.endpoint, call.sent_at)
-        self._apply_actions(self._queue.on_response(self._last_response_at))
+        self._apply_actions(self._queue.on_response(now))
 
     def _apply_statement(
         self,
@@ -448,9 +441,9 @@
 
     async def close(self) -> None:
         """Cancel pending calls and background tasks, and close the connections."""
-        for timer in (self._expiry_timer, self._limit_check_timer):
-            if timer is not None:
-                timer.cancel()
+        self._limit_check.close()
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
         for call in list(self._call_by_id.values()):
             call.cancel()
         for task in self._tasks:
