Ask a zone again for calls that arrived during a token request

A call that arrived while a request for tokens was open was refused as soon as that request had been granted in full: the zone counted as tried, although it had granted all that was asked.

A zone that grants what a request needs is no longer tried.

--- a/packages/pollenglade-core/src/pollenglade_core/quota/quota_borrower.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/quota_borrower.py
@@ -136,6 +136,9 @@
             settlements = state.collect_settlements(request.zone, now)
             if settlements:
                 actions.append(SendSettlements(request.zone, request.account, settlements))
+        if tokens >= request.needed:
+            # Calls that arrived after the request may be served by the same zone.
+            state.tried_zones.discard(request.zone)
         if not state.waiting_calls:
             state.tried_zones.clear()
         elif was_open:
--- a/packages/pollenglade-core/tests/test_core/test_quota/test_quota.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota/test_quota.py
@@ -234,6 +234,17 @@
     return offered, refused
 
 
+class WaitingCallTest(unittest.TestCase):
+    def test_a_call_that_arrives_during_a_request_is_refused_after_a_full_grant(self) -> None:
+        borrower = QuotaBorrower("n/1", "a", ("a",), random.Random(1))
+        _, request = borrower.spend(ACCOUNTS[0], "first", 50.0)
+        self.assertEqual([CallWaiting("second")], borrower.spend(ACCOUNTS[0], "second", 50.001))
+        assert isinstance(request, SendTokenRequest)
+        actions = borrower.on_granted(request.ask.request_id, 1, 50.002)
+        kinds = [type(action).__name__ for action in actions]
+        self.assertEqual(["CallAdmitted", "SendSettlements", "SendTokenRequest"], kinds)
+
+
 class PrefetchTest(unittest.TestCase):
     @given(st.integers(4, 200), st.integers(0, 2**32))
     @settings(max_examples=20)
