Grant tokens that accrue within 25 ms to waiting calls

At a small, fast contract calls within the rate were refused: a token on its way to the borrower and its report on its way back block accrual, so a call could come a few milliseconds before its token.

The holder now grants such a token ahead and sends the reply when it has accrued. The level is negative until then, so no window gets more than before: the check over all windows (FleetTest, unchanged) finds no excess. The message on the link is the same.

--- a/packages/pollenglade-core/src/pollenglade_core/quota/granting_bucket.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/granting_bucket.py
@@ -17,6 +17,14 @@
 of such a contract waits for a round trip.
 """
 
+GRANT_AHEAD_S = 0.025
+"""Time in seconds before a token accrues at which it is granted to waiting calls.
+
+A token in transit delays accrual by a round trip, about 3 ms between zones, so a call within the
+rate may arrive some round trips before its token. It is far below the 0.25 s after which borrowers
+consider a request lost.
+"""
+
 GRANT_LIFETIME_TICKS = int(GRANT_LIFETIME_S * TICKS_PER_S)
 
 
@@ -60,7 +68,7 @@
 
     @property
     def level(self) -> float:
-        """Tokens available for grants at the last update."""
+        """Tokens available for grants at the last update; negative after a grant ahead."""
         return self._level_ticks / TICKS_PER_S
 
     def grant(self, request_id: str, needed: int, wanted: int, now: float) -> int:
@@ -76,10 +84,30 @@
             tokens += min(max(wanted - needed, 0), max(spare_ticks // TICKS_PER_S, 0))
         if tokens < 1 or request_id in self._grants_by_id:
             return 0
+        self._add_grant(request_id, tokens)
+        return tokens
+
+    def grant_ahead(self, request_id: str, needed: int, now: float) -> tuple[int, float]:
+        """Grant tokens that accrue within `GRANT_AHEAD_S`; return their number and the wait.
+
+        The tokens must not be spent before the wait in seconds has passed. Returns 0 tokens if none
+        accrue in time or the id was used. The level is negative until the tokens have accrued.
+        """
+        self.advance(now)
+        if request_id in self._grants_by_id or self.rate_per_s < 1:
+            return 0, 0.0
+        accruing_ticks = int(GRANT_AHEAD_S * TICKS_PER_S) * self.rate_per_s
+        accrued = (self._level_ticks + accruing_ticks) // TICKS_PER_S
+        tokens = min(needed, accrued, self.burst - self._outstanding)
+        if tokens < 1:
+            return 0, 0.0
+        self._add_grant(request_id, tokens)
+        return tokens, max(0, -self._level_ticks) / self.rate_per_s / TICKS_PER_S
+
+    def _add_grant(self, request_id: str, tokens: int) -> None:
         self._level_ticks -= tokens * TICKS_PER_S
         self._outstanding += tokens
         self._grants_by_id[request_id] = _Grant(tokens, self._ticks + GRANT_LIFETIME_TICKS)
-        return tokens
 
     def settle(self, request_id: str, spent: int, returned: int, now: float) -> None:
         """Apply cumulative counts of spent and returned tokens, unless unknown or invalid."""
--- a/packages/pollenglade-core/src/pollenglade_core/quota/quota_holder.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/quota_holder.py
@@ -128,9 +128,12 @@
         if epoch_bucket is None:
             return TokensDenied(ask.request_id, GRANT_LIFETIME_S)
         tokens = epoch_bucket.bucket.grant(ask.request_id, ask.needed, ask.wanted, now)
-        if tokens == 0:
-            return TokensDenied(ask.request_id, epoch_bucket.bucket.retry_after_s(now))
-        return TokensGranted(ask.request_id, tokens, epoch_bucket.epoch)
+        if tokens > 0:
+            return TokensGranted(ask.request_id, tokens, epoch_bucket.epoch)
+        tokens, wait_s = epoch_bucket.bucket.grant_ahead(ask.request_id, ask.needed, now)
+        if tokens > 0:
+            return TokensGranted(ask.request_id, tokens, epoch_bucket.epoch, now + wait_s)
+        return TokensDenied(ask.request_id, epoch_bucket.bucket.retry_after_s(now))
 
     def _bucket_for(self, account: Account, now: float) -> _EpochBucket | None:
         state = self._shares_by_account.get(account)
--- a/packages/pollenglade-core/src/pollenglade_core/quota/quota_messages.py
+++ b/packages/pollenglade-core/src/pollenglade_core/quota/quota_messages.py
@@ -45,11 +45,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TokensGranted:
-    """Granted tokens; the borrower may spend them until 1 s after it sent the request."""
+    """Granted tokens; the borrower may spend them until 1 s after it sent the request.
+
+    The holder must not send the reply before `ready_at`, a time of its clock in seconds, because
+    the tokens accrue only until then.
+    """
 
     request_id: str
     tokens: int
     epoch: int
+    ready_at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pollenglade-core/tests/test_core/test_quota/quota_fleet.py
+++ b/packages/pollenglade-core/tests/test_core/test_quota/quota_fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
+from math import ceil
 from typing import Any
 
 from pollenglade_core.quota.lease import ZoneLeases
@@ -333,7 +334,10 @@
 
         def receive() -> None:
             reply = holder.holder.handle_request(action.ask, self.clock(holder))
-            self._send(holder, host, lambda: self._deliver_reply(host, reply))
+            ready_at = reply.ready_at if isinstance(reply, TokensGranted) else 0.0
+            delay_s = ceil(max(0.0, ready_at - self.clock(holder)) / TICK_S) * TICK_S
+            send = partial(self._send, holder, host, partial(self._deliver_reply, host, reply))
+            self.after(delay_s, holder, send)
 
         self._send(host, holder, receive)
 
--- a/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
@@ -289,7 +289,8 @@
         if isinstance(result, TokensGranted):
             self.counts.grants += 1
             self.counts.tokens_granted += result.tokens
-            reply(["granted", result.tokens, 0.0, ""])
+            delay_s = max(0.0, result.ready_at - now)
+            self._loop.call_later(delay_s, reply, ["granted", result.tokens, 0.0, ""])
         else:
             self.counts.denials += 1
             reply(["denied", 0, result.retry_after_s, ""])
