Choose the best of a few random endpoints, by sums that need no walk over all nodes

All nodes chose the one best endpoint of the same old reports and flooded it until the next report. A request now goes to the best of two endpoints drawn from the own zone and two from all zones; services with up to four endpoints are examined as before. Among endpoints without a queue the one with more free slots is preferred.

Slots, failure rate and slot use of a service are kept as sums in place of a walk over all peers for each service of a request. A report stays valid for two of the longest intervals between reports: at 195 nodes the interval was longer than the validity.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -1,29 +1,45 @@
 """View of the endpoints of all nodes, and the choice of the endpoint for the next request.
 
-Balances load over endpoints of unequal and changing speed: a request goes to the endpoint with the
-shortest expected time, and some requests go to the endpoint that was not chosen for the longest
-time. The speed of an endpoint is measured only by its requests, so an endpoint that was once slow
-or has just joined would otherwise get no requests while others have capacity.
+Balances load over endpoints of unequal and changing speed while load reports are old. If all nodes
+chose the best of all endpoints by the same old reports, they would flood it until the next report.
+A request therefore goes to the best of a few candidates drawn at random, some of them in the zone
+of this node. The cost of a choice does not grow with the number of endpoints.
+
+Some requests go to the endpoint that was not chosen for the longest time. The speed of an endpoint
+is measured only by its requests, so an endpoint that was once slow or has just joined would
+otherwise get no requests while others have capacity.
 
 The mesh node uses this module; the node's own interface chooses targets by `routing.service_pool`.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections import OrderedDict
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import field
 from operator import attrgetter
 
+from ..randomness import RandomSource
 from ..serving.endpoint_statement import Departure
 from ..serving.endpoint_statement import EndpointIdentity
+from .report_interval import MIN_REPORT_VALIDITY_S
+from .report_interval import report_validity_s
 from .slot_use import SlotUse
+from .slot_use_totals import SlotUseTotals
+
+CANDIDATES = 2
+"""Endpoints drawn from the zone of this node, and from all zones, for each choice."""
+
+MAX_DRAWS = 8
+"""Draws after which unusable endpoints are taken to be many, and all endpoints are examined."""
 
-MAX_REPORT_AGE_S = 3.0
-"""Age in seconds of the latest load report at which a node is no longer chosen."""
+TOTALS_MAX_AGE_S = 0.05
+"""Time in seconds for which the slots and the failure rate of a service are not computed again; a
+fraction of the time of most requests."""
 
 LINK_FAILURE_AVOIDANCE_S = 0.5
 """Time in seconds for which a node is not chosen after a link to it broke."""
@@ -35,7 +51,11 @@
 """
 
 SERVICE_TIME_WEIGHT = 0.25
-"""Weight of the expected time at an endpoint in its score, relative to the time in its queue."""
+"""Weight of the expected time at an endpoint in its score, relative to the time in its queue.
+
+The expected time counts up to twice, in proportion to the slots in use: among endpoints without a
+queue, the one with more free slots is less likely to have one when the request arrives.
+"""
 
 FAILURE_PENALTY_S = 0.2
 """Time in seconds added to the score of an endpoint with a recent failure rate of 1."""
@@ -85,7 +105,8 @@
 
     `sent` counts the requests sent from this node since the latest load report. The peer also
     records, in this order, when its latest load report arrived, when it last queried this node for
-    its state, and until when it is not chosen after a broken link. It is not ready while its
+    its state, and until when it is not chosen after a broken link. It is silent from a query that
+    it did not answer until its next state message. It is not ready while its
     endpoint is the one of its latest `departure`, whatever its node says: a restarted node may not
     know that the endpoint is leaving.
     """
@@ -101,11 +122,11 @@
         self.departure = departure
         self.load = EndpointLoad()
         self.sent = 0
-        self.use_by_service: Mapping[str, SlotUse] = {}
         self.last_report_at = float("-inf")
         self.last_query_at = float("-inf")
         self.avoided_until = float("-inf")
         self.last_chosen_at = float("-inf")
+        self.is_silent = False
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
 
@@ -131,12 +152,17 @@
         self.sent = 0
         self.last_report_at = now
 
-    def is_usable(self, now: float) -> bool:
-        """Whether requests may be sent to the endpoint."""
+    def is_usable(self, now: float, validity_s: float = MIN_REPORT_VALIDITY_S) -> bool:
+        """Whether requests may be sent to the endpoint.
+
+        `validity_s` is the age in seconds up to which load reports are valid. It is shorter for a
+        node that has left a query unanswered.
+        """
+        max_age_s = MIN_REPORT_VALIDITY_S if self.is_silent else validity_s
         return (
             self.ready
             and self.load.capacity > 0.0
-            and now - self.last_report_at < MAX_REPORT_AGE_S
+            and now - self.last_report_at < max_age_s
             and now >= self.avoided_until
         )
 
@@ -160,14 +186,29 @@
         return max(0.0, requests_ahead) * load.expected_s / capacity
 
 
+@dataclass(slots=True)
+class _Service:
+    """The endpoints of one service, those in the local zone once more, and figures about them."""
+
+    peers: list[Peer] = field(default_factory=list)
+    local_peers: list[Peer] = field(default_factory=list)
+    choices: int = 0
+    slots: float = 0.0
+    failure_rate: float = 0.0
+    totals_at: float = float("-inf")
+
+
 class PeerView:
     """All known endpoints by node, and the choice among them by expected completion time."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, random_source: RandomSource) -> None:
         self._zone = zone
+        self._random_source = random_source
         self.peer_by_node: dict[str, Peer] = {}
+        self._service_by_name: dict[str, _Service] = {}
         self._departure_by_node: OrderedDict[str, Departure] = OrderedDict()
-        self._choices_by_service: Counter[str] = Counter()
+        self._slot_use_totals = SlotUseTotals()
+        self._report_validity_s = MIN_REPORT_VALIDITY_S
 
     def add(self, node: str, zone: str, service: str) -> None:
         """Add a node, unless it is known with this zone and service."""
@@ -175,49 +216,93 @@
         if peer is not None and (peer.zone, peer.service) == (zone, service):
             return
         self.remove(node)
-        self.peer_by_node[node] = Peer(node, zone, service, self._departure_by_node.get(node))
+        peer = Peer(node, zone, service, self._departure_by_node.get(node))
+        self.peer_by_node[node] = peer
+        group = self._service_by_name.setdefault(service, _Service())
+        group.peers.append(peer)
+        if zone == self._zone:
+            group.local_peers.append(peer)
+        self._report_validity_s = report_validity_s(len(self.peer_by_node))
 
     def remove(self, node: str) -> None:
         """Remove a node; the departure of its endpoint applies also after its return."""
         peer = self.peer_by_node.pop(node, None)
-        if peer is None or peer.departure is None:
+        if peer is None:
+            return
+        group = self._service_by_name[peer.service]
+        group.peers.remove(peer)
+        if peer.zone == self._zone:
+            group.local_peers.remove(peer)
+        self._slot_use_totals.remove(node)
+        self._report_validity_s = report_validity_s(len(self.peer_by_node))
+        if peer.departure is None:
             return
         self._departure_by_node[node] = peer.departure
         self._departure_by_node.move_to_end(node)
         if len(self._departure_by_node) > MAX_DEPARTURES:
             self._departure_by_node.popitem(last=False)
 
-    def peers_of_service(self, service: str) -> list[Peer]:
-        """Return the endpoints of a service."""
-        return [peer for peer in self.peer_by_node.values() if peer.service == service]
+    def is_usable(self, peer: Peer, now: float) -> bool:
+        """Whether requests may be sent to an endpoint."""
+        return peer.is_usable(now, self._report_validity_s)
 
     def choose(self, service: str, now: float, excluded: Collection[str] = ()) -> Peer | None:
         """Return the endpoint for the next request, or None if no endpoint is usable."""
-        usable = [
-            peer
-            for peer in self.peers_of_service(service)
-            if peer.is_usable(now) and peer.node not in excluded
-        ]
-        if not usable:
+        group = self._service_by_name.get(service)
+        if group is None:
             return None
-        fastest = min(usable, key=lambda peer: self._score_s(peer, now))
-        chosen = self._exploration_choice(service, usable, now) or fastest
-        chosen.sent += 1
-        chosen.last_chosen_at = now
-        return chosen
-
-    def _exploration_choice(self, service: str, usable: Iterable[Peer], now: float) -> Peer | None:
+        candidates = self._draw(group.local_peers, now, excluded)
+        candidates += self._draw(group.peers, now, excluded)
+        if not candidates:
+            candidates = self._usable(group.peers, now, excluded)
+        chosen = self._exploration_choice(group, now, excluded) or self._best(candidates, now)
+        return self._record_choice(chosen, now)
+
+    def choose_among(self, nodes: Iterable[str], now: float) -> Peer | None:
+        """Return the endpoint for the next request among those of some nodes."""
+        peers = [peer for node in nodes if (peer := self.peer_by_node.get(node)) is not None]
+        return self._record_choice(self._best(self._usable(peers, now, ()), now), now)
+
+    def _record_choice(self, peer: Peer | None, now: float) -> Peer | None:
+        if peer is not None:
+            peer.sent += 1
+            peer.last_chosen_at = now
+        return peer
+
+    def _draw(self, peers: Sequence[Peer], now: float, excluded: Collection[str]) -> list[Peer]:
+        """Return `CANDIDATES` usable endpoints at random, or all usable ones of a few."""
+        if len(peers) <= 2 * CANDIDATES:
+            return self._usable(peers, now, excluded)
+        drawn: list[Peer] = []
+        for _ in range(MAX_DRAWS):
+            peer = peers[int(self._random_source.random() * len(peers))]
+            if peer in drawn or peer.node in excluded or not self.is_usable(peer, now):
+                continue
+            drawn.append(peer)
+            if len(drawn) == CANDIDATES:
+                break
+        return drawn
+
+    def _usable(self, peers: Iterable[Peer], now: float, excluded: Collection[str]) -> list[Peer]:
+        return [peer for peer in peers if peer.node not in excluded and self.is_usable(peer, now)]
+
+    def _best(self, candidates: Iterable[Peer], now: float) -> Peer | None:
+        return min(candidates, key=lambda peer: self._score_s(peer, now), default=None)
+
+    def _exploration_choice(
+        self, group: _Service, now: float, excluded: Collection[str]
+    ) -> Peer | None:
         """Count a choice; return the endpoint to explore, or None if none is due or qualifies.
 
         This is the endpoint not chosen for the longest time among those with a free slot and a low
         failure rate.
         """
-        self._choices_by_service[service] += 1
-        if self._choices_by_service[service] % EXPLORATION_INTERVAL:
+        group.choices += 1
+        if group.choices % EXPLORATION_INTERVAL:
             return None
         candidates = [
             peer
-            for peer in usable
+            for peer in self._usable(group.peers, now, excluded)
             if peer.wait_s() == 0.0
             and max(peer.failure_rate(now), peer.load.failure_rate) < MAX_EXPLORATION_FAILURE_RATE
         ]
@@ -225,34 +310,43 @@
 
     def slots(self, service: str, now: float) -> float:
         """Return the requests that can run at once at the usable endpoints of a service."""
-        return sum(
-            peer.load.capacity for peer in self.peers_of_service(service) if peer.is_usable(now)
-        )
+        group = self._service_by_name.get(service)
+        return 0.0 if group is None else self._with_totals(group, now).slots
+
+    def failure_rate(self, service: str, now: float) -> float:
+        """Return the mean failure rate of a service's endpoints, weighted by their slots."""
+        group = self._service_by_name.get(service)
+        return 0.0 if group is None else self._with_totals(group, now).failure_rate
+
+    def _with_totals(self, group: _Service, now: float) -> _Service:
+        """Compute the figures of a service unless they are recent."""
+        if group.totals_at <= now < group.totals_at + TOTALS_MAX_AGE_S:
+            return group
+        loads = [peer.load for peer in self._usable(group.peers, now, ())]
+        group.slots = sum(load.capacity for load in loads)
+        failed_slots = sum(load.failure_rate * load.capacity for load in loads)
+        group.failure_rate = failed_slots / group.slots if group.slots else 0.0
+        group.totals_at = now
+        return group
 
     def has_endpoints(self, service: str) -> bool:
         """Whether any known node has an endpoint of the service, usable or not."""
-        return any(peer.service == service for peer in self.peer_by_node.values())
+        group = self._service_by_name.get(service)
+        return group is not None and bool(group.peers)
 
-    def slot_use(self, service: str, now: float, local_node: str) -> SlotUse:
-        """Return the summed slot use of a service that the other reachable nodes reported."""
-        return SlotUse.total(
-            [
-                peer.use_by_service[service]
-                for peer in self.peer_by_node.values()
-                if service in peer.use_by_service
-                and peer.node != local_node
-                and now - peer.last_report_at < MAX_REPORT_AGE_S
-            ]
-        )
+    def apply_slot_use(self, node: str, use_by_service: Mapping[str, SlotUse], now: float) -> None:
+        """Apply the slot use that another node reported."""
+        self._slot_use_totals.apply(node, use_by_service, now)
 
-    def failure_rate(self, service: str, now: float) -> float:
-        """Return the mean failure rate of a service's endpoints, weighted by their slots."""
-        loads = [peer.load for peer in self.peers_of_service(service) if peer.is_usable(now)]
-        slots = sum(load.capacity for load in loads)
-        return sum(load.failure_rate * load.capacity for load in loads) / slots if slots else 0.0
+    def slot_use(self, service: str, now: float) -> SlotUse:
+        """Return the summed slot use of a service that the other reachable nodes reported."""
+        return self._slot_use_totals.total(service, now - self._report_validity_s)
 
     def _score_s(self, peer: Peer, now: float) -> float:
-        score = peer.wait_s() + peer.load.expected_s * SERVICE_TIME_WEIGHT
+        load = peer.load
+        requests = load.running + load.waiting + peer.sent
+        used_fraction = min(1.0, requests / max(1.0, load.capacity))
+        score = peer.wait_s() + load.expected_s * SERVICE_TIME_WEIGHT * (1.0 + used_fraction)
         score += peer.failure_rate(now) * FAILURE_PENALTY_S
         if peer.zone != self._zone:
             score += CROSS_ZONE_PENALTY_S
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from pollenglade_core.dispatch.peer_view import EXPLORATION_INTERVAL
 from pollenglade_core.dispatch.peer_view import EndpointLoad
-from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import RetryBounds
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
@@ -21,9 +21,10 @@
 
 def make_view(*zones: str) -> PeerView:
     """Return a view from zone `a` with one idle endpoint of `jury` in each zone."""
-    view = PeerView("a")
+    view = PeerView("a", random.Random(1))
     for zone in zones:
-        peer = view.peer_by_node[f"node-{zone}"] = Peer(f"node-{zone}", zone, "jury")
+        view.add(f"node-{zone}", zone, "jury")
+        peer = view.peer_by_node[f"node-{zone}"]
         peer.ready = True
         peer.apply_load_report(EndpointLoad(0, 0, 10, 0.02), 0.0)
     return view
@@ -62,7 +63,7 @@
 
     def test_a_departed_endpoint_is_used_again_because_its_node_forgot_the_departure(self) -> None:
         """A restarted node may apply a late heartbeat and report the endpoint as ready."""
-        view = PeerView("a")
+        view = PeerView("a", random.Random(1))
         view.add("node-a", "a", "jury")
         endpoint = EndpointIdentity("i-1", 1000)
         view.peer_by_node["node-a"].apply_state(endpoint, ready=False, leaving=True, now=0.0)
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_rate_limited_service.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_rate_limited_service.py
@@ -62,7 +62,7 @@
         self.limits = limits
         self.random_source = random.Random(5)
         self.queue_by_node = {f"n{number}": EndpointQueue(SLOTS) for number in range(3)}
-        self.views = [PeerView("z1") for _ in range(NODES)]
+        self.views = [PeerView("z1", self.random_source) for _ in range(NODES)]
         self.admissions = [TreeAdmission() for _ in range(NODES)]
         self.reported_use: list[dict[str, SlotUse]] = [{} for _ in range(NODES)]
         self.request_by_id: dict[str, Request] = {}
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -51,9 +51,8 @@
 class PeerViewLoad:
     """Load of the services at one moment, read from the peer view of this node."""
 
-    def __init__(self, view: PeerView, local_node: str, now: float) -> None:
+    def __init__(self, view: PeerView, now: float) -> None:
         self._view = view
-        self._local_node = local_node
         self._now = now
 
     def slots(self, service: str) -> float:
@@ -66,7 +65,7 @@
 
     def slot_use_of_others(self, service: str) -> SlotUse:
         """Return the total slot use that the other reachable nodes report."""
-        return self._view.slot_use(service, self._now, self._local_node)
+        return self._view.slot_use(service, self._now)
 
     def failure_rate(self, service: str) -> float:
         """Return the fraction of the calls at the service that fail or are rejected."""
@@ -264,7 +263,7 @@
         if call.nested:
             return None
         route = call.route
-        load = PeerViewLoad(self._view, self._links.hello.node, now)
+        load = PeerViewLoad(self._view, now)
         usage = self._tree_costs.mean_usage(route.name)
         refusal = self._tree_admission.check(
             route.name, route.priority, usage, load, self._random_source.random(), now
@@ -303,8 +302,7 @@
         now = monotonic()
         if call.allowed_nodes is None:
             return self._view.choose(call.service, now, call.excluded_nodes)
-        excluded_nodes = self._view.peer_by_node.keys() - call.allowed_nodes
-        return self._view.choose(call.service, now, excluded_nodes)
+        return self._view.choose_among(call.allowed_nodes, now)
 
     def send(
         self, peer: Peer, context: CallContext, request: HttpRequest, sink: AttemptResultSink
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -12,7 +12,6 @@
 
 from pollenglade_core.admission.quarantine import CrashLedger
 from pollenglade_core.admission.quarantine import CrashNotice
-from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
@@ -89,9 +88,9 @@
             self.request_log,
         )
         self._links = Links(Hello(settings.node, incarnation, settings.zone), self.serving)
-        self.view = PeerView(settings.zone)
-        self._local_peer = Peer(settings.node, settings.zone, settings.service)
-        self.view.peer_by_node[settings.node] = self._local_peer
+        self.view = PeerView(settings.zone, random_source)
+        self.view.add(settings.node, settings.zone, settings.service)
+        self._local_peer = self.view.peer_by_node[settings.node]
         self.peers = PeerExchange(
             self.member, self._links, self.view, self._current_state, random_source
         )
@@ -238,7 +237,7 @@
             "members": len(self.peers.nodes),
             "members_unreachable": len(self.peers.silent_nodes()),
             "endpoints_usable": sum(
-                peer.is_usable(now) for peer in self.view.peer_by_node.values()
+                self.view.is_usable(peer, now) for peer in self.view.peer_by_node.values()
             ),
             "policy_version": self.policy.version,
             "requests_open": self._entry.open_request_count,
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -16,6 +16,8 @@
 from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.dispatch.report_interval import INTERVAL_SPREAD
+from pollenglade_core.dispatch.report_interval import report_interval_s
 from pollenglade_core.dispatch.slot_use import PRIORITY_COUNT
 from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_core.serving.endpoint_statement import UNKNOWN_INCARNATION
@@ -27,12 +29,6 @@
 
 STATE_TOPIC = "state"
 
-STATE_INTERVAL_S = 0.75
-"""Time in seconds between state messages to a peer in a small mesh."""
-
-MAX_STATES_PER_S = 64.0
-"""Upper bound on state messages per second of one node; a larger mesh uses a longer interval."""
-
 MAX_SILENCE_STEP_S = 2.0
 """Largest time in seconds that one failed query adds to the silence of a peer.
 
@@ -95,6 +91,7 @@
             {
                 name: [round(slots, 2) for slots in (*use.occupied, *use.offered)]
                 for name, use in self.use_by_service.items()
+                if any(round(slots, 2) for slots in (*use.occupied, *use.offered))
             },
             [self.endpoint.incarnation, self.leaving, load.rate_limit],
         ]
@@ -279,13 +276,14 @@
             self._send(node, force=True)
 
     def _state_interval_s(self) -> float:
-        return max(STATE_INTERVAL_S, len(self.member_by_node) / MAX_STATES_PER_S)
+        return report_interval_s(len(self.member_by_node))
 
     def _send_periodically(self) -> None:
         # All peers share one iteration of the event loop; one for each peer costs more in total.
         for node in self.nodes:
             self._send(node)
-        delay_s = self._state_interval_s() * (0.8 + 0.4 * self._random_source.random())
+        spread = INTERVAL_SPREAD * (2.0 * self._random_source.random() - 1.0)
+        delay_s = self._state_interval_s() * (1.0 + spread)
         self._send_timer = self._loop.call_later(delay_s, self._send_periodically)
 
     def _send(self, node: str, force: bool = False) -> None:
@@ -321,6 +319,7 @@
             return
         now = monotonic()
         peer.avoided_until = now + LINK_FAILURE_AVOIDANCE_S
+        peer.is_silent = True
         silence = self._silence_by_node.get(node)
         if silence is None:
             self._silence_by_node[node] = _Silence(now)
@@ -355,8 +354,9 @@
         if peer is None:
             return
         peer.apply_state(state.endpoint, state.ready, state.leaving, monotonic())
-        peer.use_by_service = state.use_by_service
+        self._view.apply_slot_use(node, state.use_by_service, monotonic())
         peer.apply_load_report(state.load, monotonic())
+        peer.is_silent = False
         if self._silence_by_node.pop(node, None) is not None:
             peer.avoided_until = float("-inf")
             log.info("peer_regained", peer=node)
