Decline a request that would have to wait while others may have a free slot

An endpoint with free slots in its latest report may be full when a request arrives; the request then waited although other endpoints were idle.

A request is first sent under the condition that it starts at once. An endpoint without a free slot declines it unsent, and it is placed elsewhere; after two declines it waits at the best endpoint that declined it. Where the known queue is long, or the service has no other endpoint, it may wait at once. The decision is `Placement`, without a network; the link carries one more element, which older nodes ignore.

--- a/packages/pollenglade-core/src/pollenglade_core/calls/call.py
+++ b/packages/pollenglade-core/src/pollenglade_core/calls/call.py
@@ -23,10 +23,11 @@
     `crash_count` is the number of attempts of the call that the entry node saw end with
     TARGET_FAILED. It covers crashes whose notices have not arrived at the serving node yet.
 
-    Only the entry node of a mesh sets `objective_at`, `nested` and `rank`; the endpoint queue of a
-    serving node orders requests by them. `objective_at` is the end of the latency objective, and
+    Only the entry node of a mesh sets `objective_at`, `nested`, `rank` and `may_wait`; the endpoint
+    queue of a serving node orders requests by the first three, and rejects a request that must not
+    wait and cannot start at once. `objective_at` is the end of the latency objective, and
     0.0 if none is set. `nested` marks a request that the run of another one made. The node's own
-    interface leaves the three at their defaults and marks its nested calls by a `depth` above 1.
+    interface leaves them at their defaults and marks its nested calls by a `depth` above 1.
 
     The admission control of a target prefers calls with a higher `importance`, the endpoint queue
     of a mesh node requests with a lower `rank`. In a mesh both follow from the priorities of the
@@ -51,6 +52,7 @@
     objective_at: float = 0.0
     nested: bool = False
     rank: int = 0
+    may_wait: bool = True
 
     def with_allowance(self, allowance: RetryAllowance) -> CallContext:
         """Return a copy with another retry allowance.
@@ -73,6 +75,7 @@
             self.objective_at,
             self.nested,
             self.rank,
+            self.may_wait,
         )
 
     def remaining_s(self, now: float) -> float:
--- a/packages/pollenglade-core/src/pollenglade_core/calls/outcome.py
+++ b/packages/pollenglade-core/src/pollenglade_core/calls/outcome.py
@@ -32,6 +32,8 @@
     OVERLOADED = "overloaded"
     # The call waited in the queue of the target for the longest permitted time.
     QUEUE_DELAY = "queue-delay"
+    # The call must not wait, and no slot of the target was free.
+    NO_FREE_SLOT = "no-free-slot"
     DEADLINE = "deadline"
     NO_TARGET = "no-target"
     DRAINING = "draining"
@@ -63,6 +65,7 @@
     Reason.OVER_RATE: 429,
     Reason.OVERLOADED: 503,
     Reason.QUEUE_DELAY: 503,
+    Reason.NO_FREE_SLOT: 503,
     Reason.DEADLINE: 504,
     Reason.NO_TARGET: 503,
     Reason.DRAINING: 503,
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -10,6 +10,9 @@
 An endpoint may limit the requests per second that it takes. A request that this limit would delay
 beyond the latest start that its deadline permits is rejected as well, so that it is placed at
 another endpoint or refused early; more important requests do not wait behind it.
+
+A request that must not wait is rejected unless it can start at once. Nodes place requests by load
+reports that are old, and another endpoint may have a free slot.
 """
 
 from __future__ import annotations
@@ -71,6 +74,7 @@
     rank: int
     deadline: float
     objective_at: float
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +189,8 @@
             return [RejectRequest(request.request_id, Reason.DEADLINE)]
         if not self._waiting_by_id and self._has_room(now):
             return [self._start(request, now)]
+        if not request.may_wait:
+            return [RejectRequest(request.request_id, Reason.NO_FREE_SLOT)]
         starts_at = now + self._wait_s(request, now)
         misses_objective = not request.nested and starts_at > request.objective_at
         is_rate_limited = self._rate.per_s is not None
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -175,6 +175,7 @@
         int((context.objective_at - now) * 1000),
         context.nested,
         context.rank,
+        context.may_wait,
     ]
     return pack(
         [
@@ -204,6 +205,7 @@
     call_id, organisation, profile, service, importance, remaining_ms = fields[:6]
     allowance, weight, depth, idempotent, fingerprint, crash_count = fields[6:]
     objective_ms, nested, rank = wire[13:16] if len(wire) >= 16 else (remaining_ms, False, 0)
+    may_wait = len(wire) < 17 or wire[16] is not False
     if not isinstance(objective_ms, int) or not isinstance(rank, int):
         raise LinkError("the latency objective or the rank of a call is not a whole number")
     try:
@@ -226,6 +228,7 @@
         objective_at=now + objective_ms / 1000,
         nested=nested is True,
         rank=rank,
+        may_wait=may_wait,
     )
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -105,6 +105,7 @@
         self._health_path = ""
         self._crash_count = 0
         self.sent_count = 0
+        self.declined_count = 0
         self.pool = ConnectionPool(max_idle=512)
         self._health_client = HttpClient(self.pool)
         self.record = EndpointRecord(service)
@@ -275,6 +276,7 @@
             context.rank,
             context.deadline,
             context.objective_at,
+            context.may_wait,
         )
         self._apply_actions(self._queue.offer(queued, monotonic()))
         return call
@@ -394,7 +396,10 @@
         self._queue.record_result(failed, monotonic())
 
     def on_failed(self, call: EndpointCall, refusal: Refusal) -> None:
-        """Log a call that ended without a response."""
+        """Log a call that ended without a response, or count one that found no free slot."""
+        if refusal.reason is Reason.NO_FREE_SLOT:
+            self.declined_count += 1
+            return
         self._request_log.on_attempt_failed(call, refusal, self.load())
 
     def on_cancelled(self, call: EndpointCall) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -15,6 +15,7 @@
 from pollenglade_core.dispatch.learnt_trees import LearntTree
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.dispatch.placement import Placement
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
 from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
@@ -200,7 +201,7 @@
             self._forwarded_request(request, organisation),
             request_id,
             route,
-            self._weighted_split.pick(route),
+            Placement(self._view, self._weighted_split.pick(route)),
             organisation,
             rank,
             now + time_limit_s,
@@ -301,7 +302,7 @@
         """Return the peer whose endpoint gets the next attempt of a call, or None."""
         now = monotonic()
         if call.allowed_nodes is None:
-            return self._view.choose(call.service, now, call.excluded_nodes)
+            return call.placement.choose(now, call.excluded_nodes)
         return self._view.choose_among(call.allowed_nodes, now)
 
     def send(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -16,6 +16,7 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
 from pollenglade_core.dispatch.peer_view import Peer
+from pollenglade_core.dispatch.placement import Placement
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
@@ -90,7 +91,7 @@
         request: HttpRequest,
         request_id: str,
         route: Route,
-        service: str,
+        placement: Placement,
         organisation: Organisation | None,
         rank: int,
         deadline: float,
@@ -104,7 +105,8 @@
         self._request = request
         self.request_id = request_id
         self.route = route
-        self.service = service
+        self.placement = placement
+        self.service = placement.service
         self.organisation = organisation
         self.rank = rank
         self.deadline = deadline
@@ -171,7 +173,7 @@
         self.attempts += 1
         sink = AttemptResultSink(self, peer)
         self.current_sink = sink
-        attempt = self._owner.send(peer, self._attempt_context(), self._request, sink)
+        attempt = self._owner.send(peer, self._attempt_context(peer), self._request, sink)
         if attempt is None:
             self.on_refusal(Refusal(Reason.LINK_FAILED), Feedback())
         elif self.current_sink is sink:
@@ -200,8 +202,9 @@
         remaining = self.route.max_attempts - self.attempts if self.route.repeatable else 0
         return max(0, remaining)
 
-    def _attempt_context(self) -> CallContext:
+    def _attempt_context(self, peer: Peer) -> CallContext:
         context = self.context
+        context.may_wait = self.placement.may_wait(peer, monotonic())
         if self.placements > 1:
             # Call ids are unique at a serving node, where an earlier attempt may still be open.
             context.call_id = f"{self.request_id}#{self.placements}"
@@ -277,6 +280,10 @@
 
     def _on_not_run(self, refusal: Refusal, peer: Peer) -> None:
         self.attempts -= 1
+        if refusal.reason is Reason.NO_FREE_SLOT:
+            self.placement.on_declined(peer)
+            self._place()
+            return
         if refusal.reason is Reason.TARGET_SHED:
             self._on_shed(refusal, peer)
             return
@@ -284,7 +291,7 @@
             # The node sends its new state to all peers; until that arrives, it gets no attempts.
             peer.ready = False
         is_final = refusal.reason in (Reason.DEADLINE, Reason.QUARANTINED, Reason.BAD_REQUEST)
-        if is_final or self.placements >= MAX_PLACEMENTS:
+        if is_final or self.placements - len(self.placement.declined_by) >= MAX_PLACEMENTS:
             self._finish_refused(refusal)
             return
         self.excluded_nodes.add(peer.node)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_metrics.py
@@ -65,6 +65,9 @@
     def endpoint_requests(self) -> int:
         """Return the number of requests that were sent to the local endpoint."""
 
+    def declined_attempts(self) -> int:
+        """Return the number of attempts at this node that found no free slot."""
+
     def latency(self) -> LatencyHistogram:
         """Return the durations of requests by decision."""
 
@@ -140,11 +143,15 @@
         def endpoint_requests() -> Iterator[Observation]:
             yield Observation(self._readings.endpoint_requests())
 
+        def declined() -> Iterator[Observation]:
+            yield Observation(self._readings.declined_attempts())
+
         name = "pollenglade.mesh.request.duration.seconds"
         add_counter("pollenglade.mesh.answers", "Answers by status and reason.", answers)
         add_counter(
             "pollenglade.mesh.attempts.cancelled", "Attempts given up, by stage.", cancelled
         )
+        add_counter("pollenglade.mesh.attempts.declined", "Attempts without a free slot.", declined)
         add_counter("pollenglade.mesh.endpoint.requests", "Requests sent to it.", endpoint_requests)
         add_counter(f"{name}.bucket", "Time from arrival to answer.", buckets)
         add_counter(f"{name}.sum", "Time from arrival to answer.", sums)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -225,6 +225,10 @@
         """Return the number of requests that were sent to the local endpoint."""
         return self.serving.sent_count
 
+    def declined_attempts(self) -> int:
+        """Return the number of attempts at this node that found no free slot."""
+        return self.serving.declined_count
+
     def latency(self) -> LatencyHistogram:
         """Return the durations of requests by decision."""
         return self.request_log.latency
