--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -86,12 +86,12 @@
             member.incarnation,
             self.ready,
             self.endpoint.endpoint_id,
-            [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate],
+            [load.running, load.waiting, load.limit, load.expected_s, load.failure_rate or 0],
             self.policy_version,
             {
-                name: [round(slots, 2) for slots in (*use.occupied, *use.offered)]
+                name: figures
                 for name, use in self.use_by_service.items()
-                if any(round(slots, 2) for slots in (*use.occupied, *use.offered))
+                if any(figures := _slot_use_to_wire(use))
             },
             [self.endpoint.incarnation, self.leaving, load.rate_limit],
         ]
@@ -152,6 +152,11 @@
     return UNKNOWN_INCARNATION, False, None
 
 
+def _slot_use_to_wire(use: SlotUse) -> list[float]:
+    # An integer takes 1 byte in place of 9, and most of the figures of a node are 0.
+    return [round(slots, 2) or 0 for slots in (*use.occupied, *use.offered)]
+
+
 def _is_slot_use(value: object) -> bool:
     return (
         isinstance(value, list)
