--- a/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/__main__.py
@@ -11,6 +11,7 @@
 from . import target_standin
 from . import zone_relay
 from .control_cost import control_cost
+from .decision_cost import decision_cost
 from .hop_cost import hop_cost
 from .link_comparison import link_comparison
 from .platform_command import platform
@@ -26,6 +27,7 @@
 app.command()(platform)
 app.command()(link_comparison)
 app.command()(hop_cost)
+app.command()(decision_cost)
 app.command()(control_cost)
 app.add_typer(target_standin.app)
 app.add_typer(fault_proxy.app)
