Ask one holder for the tokens that are missing, and others only for the rest

A request at a node without a share asked five holders at once, each for at least one token. What was borrowed beyond the need stayed at that node: with hundreds of nodes the limit was spent while its requests were refused. Requests that waited together were also refused when the first reply brought one token.

--- a/packages/pollenglade-core/tests/test_core/test_allowance/test_token_share.py
+++ b/packages/pollenglade-core/tests/test_core/test_allowance/test_token_share.py
@@ -14,6 +14,8 @@
 from hypothesis.stateful import rule
 
 from pollenglade_core.allowance.holders import limit_holders
+from pollenglade_core.allowance.loan_request import LoanRequest
+from pollenglade_core.allowance.loan_request import missing_tokens
 from pollenglade_core.allowance.token_share import AllowanceBounds
 from pollenglade_core.allowance.token_share import TokenShare
 
@@ -84,15 +86,24 @@
 
 
 class CalmTest(unittest.TestCase):
-    """Demand of 1/1.6 of the limit, unevenly distributed over 16 nodes that lend tokens."""
+    """Demand below the limit, unevenly distributed over nodes that lend tokens."""
 
     def test_refusals_within_the_limit_are_rare(self) -> None:
         for rate in (32.0, 165.0):
-            refused, offered = self._simulate(rate, random.Random(3))
+            refused, offered = self._simulate(16, rate, 1 / 1.6, random.Random(3))
             self.assertLess(refused / offered, 0.001, rate)
 
-    def _simulate(self, rate: float, random_source: random.Random) -> tuple[int, int]:
-        names = [f"n{number}" for number in range(16)]
+    def test_tokens_stay_unused_at_many_nodes_while_requests_are_refused(self) -> None:
+        """Each of 195 nodes kept what it had borrowed beyond its need."""
+        for rate in (2.0, 4.0, 10.0, 30.0):
+            with self.subTest(rate=rate):
+                refused, offered = self._simulate(195, rate, 1 / 1.6, random.Random(3))
+                self.assertLess(refused / offered, 0.005)
+
+    def _simulate(
+        self, node_count: int, rate: float, load: float, random_source: random.Random
+    ) -> tuple[int, int]:
+        names = [f"n{number}" for number in range(node_count)]
         holder_nodes = limit_holders("acme", rate, names)
         shares = [
             TokenShare(
@@ -102,18 +113,23 @@
         ]
         for share in shares:
             share.fill()
-        weights = [1.0 + (number % 4) * 0.3 for number in range(16)]
+        share_by_node = dict(zip(names, shares, strict=True))
+        weights = [1.0 + (number % 4) * 0.3 for number in range(node_count)]
         now, refused, offered = 0.0, 0, 0
         while now < 60.0:
-            now += random_source.expovariate(rate / 1.6)
+            now += random_source.expovariate(rate * load)
             offered += 1
-            share = random_source.choices(shares, weights)[0]
-            if share.try_spend(now):
-                continue
-            lenders = [item for item in shares if item is not share and item.share > 0]
-            for lender in random_source.sample(lenders, min(5, len(lenders))):
-                share.borrow(lender.lend(2.0, now))
-            refused += not share.try_spend(now)
+            node = random_source.choices(names, weights)[0]
+            share = share_by_node[node]
+            request = LoanRequest([item for item in holder_nodes if item != node], random_source)
+            while not (granted := share.try_spend(now)):
+                lenders = request.next_lenders()
+                wanted = missing_tokens(1, share.tokens(now))
+                for lender in lenders:
+                    share.borrow(share_by_node[lender].lend(wanted, now))
+                if not lenders:
+                    break
+            refused += not granted
         return refused, offered
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/token_broker.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/token_broker.py
@@ -12,6 +12,8 @@
 import structlog
 
 from pollenglade_core.allowance.holders import limit_holders
+from pollenglade_core.allowance.loan_request import LoanRequest
+from pollenglade_core.allowance.loan_request import missing_tokens
 from pollenglade_core.allowance.retry_delay import TokenDemand
 from pollenglade_core.allowance.token_share import AllowanceBounds
 from pollenglade_core.allowance.token_share import TokenShare
@@ -22,11 +24,9 @@
 
 LOAN_TOPIC = "loan"
 
-MAX_LENDERS = 5
-"""Upper bound on holders queried in parallel; each lends up to half of its tokens."""
-
 LOAN_TIMEOUT_S = 0.05
-"""Upper bound in seconds on the wait for a loan; covers a few round trips between zones."""
+"""Upper bound in seconds on the wait for the lenders that are asked at the same time; covers a few
+round trips between zones."""
 
 NO_LOAN_BACKOFF_S = 0.1
 """Time in seconds without new loan requests after the loans did not cover all waiting requests."""
@@ -163,14 +163,31 @@
 
     def _request_loans(self, organisation: str, account: _OrganisationAccount, now: float) -> None:
         lenders = [node for node in account.holders if node != self._node and self.is_alive(node)]
-        chosen = self._random_source.sample(lenders, min(MAX_LENDERS, len(lenders)))
-        if not chosen:
+        request = LoanRequest(lenders, self._random_source)
+        prefetched_tokens = account.demand.rate_per_s(now) * PREFETCH_S
+        self._ask_lenders(organisation, account, request, prefetched_tokens, now)
+
+    def _ask_lenders(
+        self,
+        organisation: str,
+        account: _OrganisationAccount,
+        request: LoanRequest,
+        min_tokens: float,
+        now: float,
+    ) -> None:
+        """Ask the next lenders for what is missing, at least `min_tokens`."""
+        lenders = request.next_lenders()
+        if not lenders:
             self._settle_waiting(account, now)
             return
-        wanted = max(1.0, account.demand.rate_per_s(now) * PREFETCH_S)
+        wanted = max(min_tokens, missing_tokens(len(account.waiting), account.share.tokens(now)))
         account.loan_round += 1
         round_number = account.loan_round
-        account.pending_replies = len(chosen)
+        account.pending_replies = len(lenders)
+
+        def ask_others() -> None:
+            if account.loan_round == round_number and account.waiting:
+                self._ask_lenders(organisation, account, request, 0.0, monotonic())
 
         def on_reply(reply: object) -> None:
             if isinstance(reply, int | float):
@@ -178,16 +195,14 @@
             if account.loan_round != round_number:
                 return
             account.pending_replies -= 1
-            if account.pending_replies == 0 or account.share.tokens(monotonic()) >= 1.0:
+            if account.share.tokens(monotonic()) >= len(account.waiting):
                 self._settle_waiting(account, monotonic())
+            elif account.pending_replies == 0:
+                ask_others()
 
-        for node in chosen:
+        for node in lenders:
             self._links.query_node(node, LOAN_TOPIC, [organisation, wanted], on_reply)
-        self._loop.call_later(LOAN_TIMEOUT_S, self._on_timeout, account, round_number)
-
-    def _on_timeout(self, account: _OrganisationAccount, round_number: int) -> None:
-        if account.loan_round == round_number and account.waiting:
-            self._settle_waiting(account, monotonic())
+        self._loop.call_later(LOAN_TIMEOUT_S, ask_others)
 
     def _settle_waiting(self, account: _OrganisationAccount, now: float) -> None:
         account.loan_round += 1
