Tell 16 random peers of a manifest in place of all

Each node sent its state to all others when it applied a manifest: 38,000 messages at 195 nodes, although nearly all nodes learn of it from the store. Each node now passes it on to 16 random peers, so that a node without the store hears of it from others all the same. Meshes of up to 17 nodes are unchanged.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -173,7 +173,7 @@
         self._limits.head_timeout_s = limits.head_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self._token_broker.apply(policy.organisations_by_name.values(), self.peers.nodes)
-        self.peers.push()
+        self.peers.push_to_some()
         rules = policy.services_by_name.get(self._settings.service)
         if rules is not None:
             self._spawn_endpoint_discovery(rules.health_path)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -36,6 +36,9 @@
 meanwhile was not silent.
 """
 
+RUMOR_COUNT = 16
+"""Peers to which a node passes a change on; one in e^16 nodes gets it from none of the others."""
+
 PUSH_DELAY_S = 0.01
 """Time in seconds in which changes are batched before a state message to all peers."""
 
@@ -280,6 +283,15 @@
         for node in self.nodes:
             self._send(node, force=True)
 
+    def push_to_some(self) -> None:
+        """Send a state message to `RUMOR_COUNT` random peers.
+
+        For changes that nearly all nodes learn by themselves and then pass on in the same way.
+        """
+        peers = self.other_nodes
+        for node in self._random_source.sample(peers, min(RUMOR_COUNT, len(peers))):
+            self._send(node, force=True)
+
     def _state_interval_s(self) -> float:
         return report_interval_s(len(self.member_by_node))
 
