--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -36,6 +36,12 @@
 meanwhile was not silent.
 """
 
+MAX_STATE_AGE_S = 0.02
+"""Age in seconds up to which the own state is sent again; all messages of a round share one.
+
+Its changes are pushed, apart from the load, of which each response carries a newer value.
+"""
+
 RUMOR_COUNT = 16
 """Peers to which a node passes a change on; one in e^16 nodes gets it from none of the others."""
 
@@ -200,6 +206,8 @@
         self._send_timer: asyncio.TimerHandle | None = None
         self._push_timer: asyncio.TimerHandle | None = None
         self._queried_nodes: set[str] = set()
+        self._encoded_state: list[object] = []
+        self._state_at = float("-inf")
         self.member_by_node: dict[str, MeshMember] = {local_member.node: local_member}
         self._silence_by_node: dict[str, _Silence] = {}
         self.on_members_changed: Callable[[], None] = lambda: None
@@ -280,6 +288,7 @@
 
     def _push(self) -> None:
         self._push_timer = None
+        self._forget_state()
         for node in self.nodes:
             self._send(node, force=True)
 
@@ -288,10 +297,22 @@
 
         For changes that nearly all nodes learn by themselves and then pass on in the same way.
         """
+        self._forget_state()
         peers = self.other_nodes
         for node in self._random_source.sample(peers, min(RUMOR_COUNT, len(peers))):
             self._send(node, force=True)
 
+    def _state_to_send(self) -> list[object]:
+        """Return the state of this node for a message, computed anew only if it is old."""
+        now = monotonic()
+        if now > self._state_at + MAX_STATE_AGE_S:
+            self._state_at = now
+            self._encoded_state = self._read_state().to_wire()
+        return self._encoded_state
+
+    def _forget_state(self) -> None:
+        self._state_at = float("-inf")
+
     def _state_interval_s(self) -> float:
         return report_interval_s(len(self.member_by_node))
 
@@ -318,7 +339,7 @@
             else:
                 self.apply(state)
 
-        self._links.query_node(node, STATE_TOPIC, self._read_state().to_wire(), on_reply)
+        self._links.query_node(node, STATE_TOPIC, self._state_to_send(), on_reply)
 
     def _is_polled_by(self, node: str) -> bool:
         """Whether the peer is the one that polls in this pair, and did so within two intervals.
@@ -359,7 +380,7 @@
             peer = self._view.peer_by_node.get(state.member.node)
             if peer is not None:
                 peer.last_query_at = monotonic()
-        reply(self._read_state().to_wire())
+        reply(self._state_to_send())
 
     def apply(self, state: NodeState) -> None:
         """Apply the state of a peer; this node's own state is ignored."""
