Send a grant ahead no earlier than its tokens accrue

Timers of uvloop are rounded to milliseconds, so a reply could leave up to a millisecond before its tokens had accrued; grants that are not ahead are sent at once again.

--- a/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
@@ -72,6 +72,9 @@
 the clocks may differ by almost 10 min.
 """
 
+TIMER_RESOLUTION_S = 0.001
+"""Resolution of the timers of the event loop in seconds."""
+
 TOKEN_REQUEST_TOPIC = "quota-ask"
 SETTLE_TOPIC = "quota-settle"
 
@@ -289,8 +292,12 @@
         if isinstance(result, TokensGranted):
             self.counts.grants += 1
             self.counts.tokens_granted += result.tokens
-            delay_s = max(0.0, result.ready_at - now)
-            self._loop.call_later(delay_s, reply, ["granted", result.tokens, 0.0, ""])
+            message = ["granted", result.tokens, 0.0, ""]
+            if result.ready_at <= now:
+                reply(message)
+            else:
+                # Timers of uvloop are rounded to milliseconds and may fire early.
+                self._loop.call_later(result.ready_at - now + TIMER_RESOLUTION_S, reply, message)
         else:
             self.counts.denials += 1
             reply(["denied", 0, result.retry_after_s, ""])
