--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -112,6 +112,12 @@
         """Average slots that the requests of this node occupy and demand, by service."""
         return self._tree_admission.use_by_service(monotonic())
 
+    @property
+    def has_learnt_trees(self) -> bool:
+        """Whether `learnt_trees` has any, without collecting them."""
+        admission = self._tree_admission
+        return any(admission.residence_s(route) is not None for route in self._tree_costs.routes)
+
     def learnt_trees(self) -> dict[str, LearntTree]:
         """Return the learnt usage and residence time of call trees, by route."""
         return {
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/tree_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/tree_exchange.py
@@ -28,7 +28,7 @@
 
     def on_peer_seen(self, node: str) -> None:
         """Query a peer for its call trees unless this node has some or a query is pending."""
-        if self._is_requested or self._entry.learnt_trees():
+        if self._is_requested or self._entry.has_learnt_trees:
             return
         self._is_requested = True
 
