--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -187,7 +187,7 @@
 
 
 @dataclass(slots=True)
-class _Service:
+class _EndpointGroup:
     """The endpoints of one service, those in the local zone once more, and figures about them."""
 
     peers: list[Peer] = field(default_factory=list)
@@ -205,7 +205,7 @@
         self._zone = zone
         self._random_source = random_source
         self.peer_by_node: dict[str, Peer] = {}
-        self._service_by_name: dict[str, _Service] = {}
+        self._group_by_service: dict[str, _EndpointGroup] = {}
         self._departure_by_node: OrderedDict[str, Departure] = OrderedDict()
         self._slot_use_totals = SlotUseTotals()
         self._report_validity_s = MIN_REPORT_VALIDITY_S
@@ -218,7 +218,7 @@
         self.remove(node)
         peer = Peer(node, zone, service, self._departure_by_node.get(node))
         self.peer_by_node[node] = peer
-        group = self._service_by_name.setdefault(service, _Service())
+        group = self._group_by_service.setdefault(service, _EndpointGroup())
         group.peers.append(peer)
         if zone == self._zone:
             group.local_peers.append(peer)
@@ -229,7 +229,7 @@
         peer = self.peer_by_node.pop(node, None)
         if peer is None:
             return
-        group = self._service_by_name[peer.service]
+        group = self._group_by_service[peer.service]
         group.peers.remove(peer)
         if peer.zone == self._zone:
             group.local_peers.remove(peer)
@@ -248,7 +248,7 @@
 
     def choose(self, service: str, now: float, excluded: Collection[str] = ()) -> Peer | None:
         """Return the endpoint for the next request, or None if no endpoint is usable."""
-        group = self._service_by_name.get(service)
+        group = self._group_by_service.get(service)
         if group is None:
             return None
         candidates = self._draw(group.local_peers, now, excluded)
@@ -290,7 +290,7 @@
         return min(candidates, key=lambda peer: self._score_s(peer, now), default=None)
 
     def _exploration_choice(
-        self, group: _Service, now: float, excluded: Collection[str]
+        self, group: _EndpointGroup, now: float, excluded: Collection[str]
     ) -> Peer | None:
         """Count a choice; return the endpoint to explore, or None if none is due or qualifies.
 
@@ -310,15 +310,15 @@
 
     def slots(self, service: str, now: float) -> float:
         """Return the requests that can run at once at the usable endpoints of a service."""
-        group = self._service_by_name.get(service)
+        group = self._group_by_service.get(service)
         return 0.0 if group is None else self._with_totals(group, now).slots
 
     def failure_rate(self, service: str, now: float) -> float:
         """Return the mean failure rate of a service's endpoints, weighted by their slots."""
-        group = self._service_by_name.get(service)
+        group = self._group_by_service.get(service)
         return 0.0 if group is None else self._with_totals(group, now).failure_rate
 
-    def _with_totals(self, group: _Service, now: float) -> _Service:
+    def _with_totals(self, group: _EndpointGroup, now: float) -> _EndpointGroup:
         """Compute the figures of a service unless they are recent."""
         if group.totals_at <= now < group.totals_at + TOTALS_MAX_AGE_S:
             return group
@@ -331,7 +331,7 @@
 
     def has_endpoints(self, service: str) -> bool:
         """Whether any known node has an endpoint of the service, usable or not."""
-        group = self._service_by_name.get(service)
+        group = self._group_by_service.get(service)
         return group is not None and bool(group.peers)
 
     def apply_slot_use(self, node: str, use_by_service: Mapping[str, SlotUse], now: float) -> None:
