Answer queries after a change of the endpoint with its new state

The state that is encoded once for several messages was still sent in replies for up to 10 ms after a change, until the change was pushed. The test saw [True, True] before.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -283,6 +283,7 @@
 
     def push(self) -> None:
         """Schedule a state message to all peers, batched with other changes."""
+        self._forget_state()
         if self._push_timer is None:
             self._push_timer = self._loop.call_later(PUSH_DELAY_S, self._push)
 
