Tell peers of a departure before it is confirmed

The departure of an endpoint was pushed 10 ms after its confirmation, and a node that stopped still confirmed departures after its links had closed. A node that ended then forgot the departure, and nobody else knew of it.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -201,7 +201,10 @@
 
     def _on_endpoint_changed(self) -> None:
         self._refresh_local_peer()
-        self.peers.push()
+        if self.serving.is_endpoint_leaving:
+            self.peers.push_now()
+        else:
+            self.peers.push()
 
     def _on_crash(self, notices: list[CrashNotice]) -> None:
         task = asyncio.get_running_loop().create_task(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -287,6 +287,12 @@
         if self._push_timer is None:
             self._push_timer = self._loop.call_later(PUSH_DELAY_S, self._push)
 
+    def push_now(self) -> None:
+        """Send a state message to all peers at once; what is confirmed next must not be lost."""
+        if self._push_timer is not None:
+            self._push_timer.cancel()
+        self._push()
+
     def _push(self) -> None:
         self._push_timer = None
         self._forget_state()
