--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -159,6 +159,9 @@
 
     def mark_leaving(self, endpoint_id: str, now: float) -> bool:
         """Record that an endpoint is leaving; return False if another endpoint has replaced it."""
+        if not self.endpoint_id:
+            # This node was restarted and has had no report of the endpoint since.
+            self.identity = EndpointIdentity(endpoint_id)
         if endpoint_id != self.endpoint_id:
             return False
         self._departure = Departure(self.identity, now)
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -54,6 +54,16 @@
         self.assertIs(self.apply(sequence=9), ReportResult.ALREADY_LEFT)
         self.assertFalse(self.record.is_ready)
 
+    def test_a_restarted_node_forgets_a_departure_that_it_confirmed(self) -> None:
+        """It did not know the endpoint yet, and a late report made the endpoint ready."""
+        self.record = EndpointRecord("calls")
+        self.assertTrue(self.record.mark_leaving("i-1", 0.5))
+        self.assertFalse(self.record.apply_health_check("i-1", REPORT.address, 8))
+        self.assertIs(self.apply(), ReportResult.ALREADY_LEFT)
+        self.assertIs(self.record.state, LocalEndpointState.DRAINING)
+        self.assertIs(self.apply(endpoint_id="i-2", incarnation=200), ReportResult.STARTED)
+        self.assertTrue(self.record.is_ready)
+
     def test_leave_applies_only_to_the_named_endpoint(self) -> None:
         """A late message of the former endpoint would stop its successor."""
         self.assertFalse(self.record.mark_leaving("i-0", 1.0))
