--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -146,8 +146,8 @@
     def slots(self, service: str) -> float:
         """Return the total number of slots of all usable endpoints."""
 
-    def has_endpoints(self, service: str) -> bool:
-        """Whether the service has endpoints, usable or not."""
+    def exists(self, service: str) -> bool:
+        """Whether there is such a service, even if no endpoint of it is known."""
 
     def slot_use_of_others(self, service: str) -> SlotUse:
         """Return the summed slot use that the other reachable nodes reported."""
@@ -298,7 +298,7 @@
             route_demand.add(route, index, slot_s, now)
             slots = load.slots(service)
             if slots <= 0.0:
-                if load.has_endpoints(service):
+                if load.exists(service):
                     retry_after_s = self._retry_after_s(route, 1.0, 0.0) * _jitter(random_value)
                     return TreeRefusal(service, 0.0, 0.0, 0.0, 0.0, retry_after_s)
                 continue
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_rate_limited_service.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_rate_limited_service.py
@@ -85,7 +85,7 @@
     def slots(self, service: str) -> float:
         return self.views[self.deciding_node].slots(service, self.now)
 
-    def has_endpoints(self, service: str) -> bool:
+    def exists(self, service: str) -> bool:
         return True
 
     def slot_use_of_others(self, service: str) -> SlotUse:
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_tree_admission.py
@@ -77,7 +77,7 @@
     def slots(self, service: str) -> float:
         return sum(queue.limit for queue in self.queues) if service == "jury" else 1000.0
 
-    def has_endpoints(self, service: str) -> bool:
+    def exists(self, service: str) -> bool:
         return True
 
     def slot_use_of_others(self, service: str) -> SlotUse:
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/decision_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/decision_cost.py
@@ -52,7 +52,7 @@
     for number in range(requests):
         # Within the validity of the reports, at any number of requests.
         now = number / REQUESTS_PER_S % 2.5
-        admission.check("browse", 1, USAGE, PeerViewLoad(view, now), 0.5, now)
+        admission.check("browse", 1, USAGE, PeerViewLoad(view, None, now), 0.5, now)
         placement = Placement(view, "calls")
         peer = placement.choose(now)
         if peer is not None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -53,17 +53,22 @@
 class PeerViewLoad:
     """Load of the services at one moment, read from the peer view of this node."""
 
-    def __init__(self, view: PeerView, now: float) -> None:
+    def __init__(self, view: PeerView, policy: TrafficPolicy | None, now: float) -> None:
         self._view = view
+        self._policy = policy
         self._now = now
 
     def slots(self, service: str) -> float:
         """Return the number of slots of all usable endpoints."""
         return self._view.slots(service, self._now)
 
-    def has_endpoints(self, service: str) -> bool:
-        """Whether the service has endpoints, usable or not."""
-        return self._view.has_endpoints(service)
+    def exists(self, service: str) -> bool:
+        """Whether the service has endpoints or the policy names it.
+
+        A node that was restarted while its zone is cut off knows no endpoint of another zone.
+        """
+        is_named = self._policy is not None and service in self._policy.services_by_name
+        return is_named or self._view.has_endpoints(service)
 
     def slot_use_of_others(self, service: str) -> SlotUse:
         """Return the total slot use that the other reachable nodes report."""
@@ -275,7 +280,7 @@
         if call.nested:
             return None
         route = call.route
-        load = PeerViewLoad(self._view, now)
+        load = PeerViewLoad(self._view, self.policy, now)
         usage = self._tree_costs.mean_usage(route.name)
         refusal = self._tree_admission.check(
             route.name,
