Prefer other endpoints to those of nodes whose link is silent

Until a silent link is closed, about a second after the last message, requests go on to be sent over it. Change: a check that finds a ping unanswered, about 0.35 s after the last message, adds a second to the score of the endpoint for as long as the link stays silent. It is not excluded, since a slow node answers late as well.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -53,6 +53,19 @@
 LINK_FAILURE_AVOIDANCE_S = 0.5
 """Time in seconds for which a node is not chosen after a link to it broke."""
 
+SUSPICION_S = 0.25
+"""Time in seconds for which a node is suspected after a check found a link to it silent.
+
+It covers two checks, so that a node remains suspected until it answers or the link is closed.
+"""
+
+SUSPICION_PENALTY_S = 1.0
+"""Time in seconds added to the score of an endpoint whose node is suspected.
+
+It is about the time after which a silent link is closed. Such an endpoint is chosen only if all
+candidates are suspected, as they are when the nodes of a service are merely slow.
+"""
+
 CROSS_ZONE_PENALTY_S = 0.01
 """Time in seconds added to the score of an endpoint in another zone.
 
@@ -119,7 +132,8 @@
 
     `sent` counts the requests sent from this node since the latest load report. The peer also
     records, in this order, when its latest load report arrived, when it last queried this node for
-    its state, and until when it is not chosen after a broken link. It is silent from a query that
+    its state, until when it is not chosen after a broken link, and until when it is suspected
+    because a link to it is silent. It is silent from a query that
     it did not answer until its next state message. It is not ready while its
     endpoint is the one of its latest `departure`, whatever its node says: a restarted node may not
     know that the endpoint is leaving.
@@ -139,6 +153,7 @@
         self.last_report_at = float("-inf")
         self.last_query_at = float("-inf")
         self.avoided_until = float("-inf")
+        self.suspected_until = float("-inf")
         self.last_chosen_at = float("-inf")
         self.is_silent = False
         self._failure_rate = 0.0
@@ -430,6 +445,7 @@
             peer
             for peer in self._usable(group.peers, now, excluded)
             if peer.wait_s(now) == 0.0
+            and now >= peer.suspected_until
             and max(peer.failure_rate(now), peer.load.failure_rate) < MAX_EXPLORATION_FAILURE_RATE
         ]
         return min(candidates, key=attrgetter("last_chosen_at"), default=None)
@@ -478,6 +494,8 @@
             1.0 + used_fraction
         )
         score += peer.failure_rate(now) * FAILURE_PENALTY_S
+        if now < peer.suspected_until:
+            score += SUSPICION_PENALTY_S
         if peer.zone != self._zone:
             score += CROSS_ZONE_PENALTY_S
         return score
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -61,6 +61,15 @@
         self.assertEqual(self.choose_node(view, excluded=("node-c",)), "")
         self.assertEqual(self.choose_node(view, now=8.0), "")
 
+    def test_the_endpoint_of_a_suspected_node_is_chosen_only_without_another(self) -> None:
+        """Requests across a partition wait until their deadline before the link is closed."""
+        view = make_view("a", "b")
+        view.peer_by_node["node-a"].suspected_until = 0.3
+        chosen_nodes = {self.choose_node(view, now=0.1) for _ in range(2 * EXPLORATION_INTERVAL)}
+        self.assertEqual(chosen_nodes, {"node-b"})
+        self.assertEqual(self.choose_node(view, now=0.1, excluded=("node-b",)), "node-a")
+        self.assertEqual(self.choose_node(view, now=0.3), "node-a")
+
     def test_a_departed_endpoint_is_used_again_because_its_node_forgot_the_departure(self) -> None:
         """A restarted node may apply a late heartbeat and report the endpoint as ready."""
         view = PeerView("a", random.Random(1))
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -113,6 +113,12 @@
         """Time in seconds since data was last received."""
         return monotonic() - self._last_received_at
 
+    @property
+    def is_ping_unanswered(self) -> bool:
+        """Whether nothing has been received since the latest ping."""
+        pinged_at = self._pending_ping_at
+        return pinged_at is not None and self._last_received_at < pinged_at
+
     @property
     def has_calls_at_peer(self) -> bool:
         """Whether the peer may be running calls from this end, including cancelled ones."""
@@ -358,14 +364,11 @@
         within `PONG_TIMEOUT_S` after an earlier ping.
         """
         if self._pending_ping_at is not None:
-            if (
-                now - self._pending_ping_at > PONG_TIMEOUT_S
-                and self._last_received_at < self._pending_ping_at
-            ):
+            if not self.is_ping_unanswered:
+                self._pending_ping_at = None
+            elif now - self._pending_ping_at > PONG_TIMEOUT_S:
                 self.close("no answer to a ping", abort=True)
                 return True
-            if self._last_received_at >= self._pending_ping_at:
-                self._pending_ping_at = None
             return False
         awaits_peer = self.has_calls_at_peer or self._reply_callback_by_stream
         if awaits_peer and now - self._last_received_at > PING_AFTER_IDLE_S:
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -94,7 +94,11 @@
 
 
 class Links:
-    """Owns all links; opens them on demand and sends calls and queries over them."""
+    """Owns all links; opens them on demand and sends calls and queries over them.
+
+    `on_peer_suspected` is called at each check in which a peer has not answered the ping of the
+    previous one.
+    """
 
     def __init__(self, hello: Hello, serving: CallRunner, source_host: str | None = None) -> None:
         self._hello = hello
@@ -112,6 +116,7 @@
         self.peers_by_node: dict[str, PeerAddress] = {}
         self.on_peer_drain: Callable[[str, int], None] = lambda node, incarnation: None
         self.on_peer_disconnected: Callable[[str], None] = lambda node: None
+        self.on_peer_suspected: Callable[[str], None] = lambda node: None
         self.query_handler_by_topic: dict[
             str, Callable[[object, Callable[[object], None]], None]
         ] = {}
@@ -134,6 +139,8 @@
     def _check_links(self) -> None:
         now = monotonic()
         for link in [*self._link_by_node.values(), *self._accepted_links]:
+            if link.is_ping_unanswered and link.peer is not None:
+                self.on_peer_suspected(link.peer.node)
             has_calls_at_peer = link.has_calls_at_peer
             if link.check_liveness(now) and has_calls_at_peer and link.peer is not None:
                 self._schedule_reopen(link.peer.node)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -158,6 +158,7 @@
         self.serving.on_endpoint_changed = self._on_endpoint_changed
         self.serving.on_crash = self._on_crash
         self._links.on_peer_disconnected = self.peers.on_disconnected
+        self._links.on_peer_suspected = self.peers.on_suspected
         self._token_broker.is_alive = self.peers.is_alive
 
     @property
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -16,6 +16,7 @@
 from pollenglade_core.dispatch.evacuation import ZoneRecord
 from pollenglade_core.dispatch.evacuation import decode_records
 from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
+from pollenglade_core.dispatch.peer_view import SUSPICION_S
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.report_interval import INTERVAL_SPREAD
@@ -424,6 +425,12 @@
         if peer is not None:
             peer.last_query_at = float("-inf")
 
+    def on_suspected(self, node: str) -> None:
+        """Prefer other endpoints to that of a peer whose link is silent."""
+        peer = self._view.peer_by_node.get(node)
+        if peer is not None:
+            peer.suspected_until = monotonic() + SUSPICION_S
+
     def on_query(self, payload: object, reply: Callable[[object], None]) -> None:
         """Apply the state of a peer and reply with this node's state."""
         state = NodeState.from_wire(payload)
--- a/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
+++ b/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
@@ -140,6 +140,18 @@
         await wait_until(lambda: sink.refusal is not None)
         await wait_until(lambda: self.runner.calls[0].cancelled, CANCELLED_WITHIN_S)
 
+    async def test_a_silent_peer_is_suspected_only_when_its_link_is_closed(self) -> None:
+        """Requests that are sent until then wait for nothing."""
+        suspected: list[str] = []
+        self.entry.on_peer_suspected = suspected.append
+        sink = self._send("a")
+        await wait_until(lambda: len(self.runner.calls) == 1)
+        self.assertEqual(suspected, [])
+        self.relay.apply(RelayConduct(RelayMode.SILENT), only_open=True)
+        await wait_until(lambda: bool(suspected))
+        self.assertEqual(set(suspected), {"serving"})
+        self.assertIsNone(sink.refusal)
+
     async def test_a_cancel_message_on_a_silent_link_is_lost(self) -> None:
         """The peer must cancel a call even if the cancel message is lost on a silent link.
 
