Avoid a node that cannot be reached for longer with each failure

Cause: while a zone is cut off, each node tried the nodes of other zones again every half a second until their reports were too old. Change: the time doubles up to 4 s until the node reports its load again. Result: four tries in five seconds in place of ten; test_dispatch fails without the change.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -51,7 +51,13 @@
 report may be old."""
 
 LINK_FAILURE_AVOIDANCE_S = 0.5
-"""Time in seconds for which a node is not chosen after a link to it broke."""
+"""Time in seconds for which a node is not chosen after a link to it broke or was not opened.
+
+It doubles with each further failure until the node reports its load again.
+"""
+
+MAX_LINK_FAILURE_AVOIDANCE_S = 4.0
+"""Upper bound on that time in seconds; reports of a larger mesh are that far apart."""
 
 SUSPICION_S = 0.25
 """Time in seconds for which a node is suspected after a check found a link to it silent.
@@ -153,6 +159,7 @@
         self.last_report_at = float("-inf")
         self.last_query_at = float("-inf")
         self.avoided_until = float("-inf")
+        self._avoidance_s = LINK_FAILURE_AVOIDANCE_S
         self.suspected_until = float("-inf")
         self.last_chosen_at = float("-inf")
         self.is_silent = False
@@ -180,6 +187,17 @@
         self.load = load
         self.sent = 0
         self.last_report_at = now
+        self._avoidance_s = LINK_FAILURE_AVOIDANCE_S
+
+    def on_link_failed(self, now: float) -> None:
+        """Avoid the node for a while, after a link to it broke or could not be opened.
+
+        Requests that fail with the same link count once.
+        """
+        if now < self.avoided_until:
+            return
+        self.avoided_until = now + self._avoidance_s
+        self._avoidance_s = min(2.0 * self._avoidance_s, MAX_LINK_FAILURE_AVOIDANCE_S)
 
     def is_usable(self, now: float, validity_s: float = MIN_REPORT_VALIDITY_S) -> bool:
         """Whether requests may be sent to the endpoint.
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -70,6 +70,21 @@
         self.assertEqual(self.choose_node(view, now=0.1, excluded=("node-b",)), "node-a")
         self.assertEqual(self.choose_node(view, now=0.3), "node-a")
 
+    def test_requests_go_on_to_try_a_node_that_cannot_be_reached(self) -> None:
+        """Each try takes until the limit for opening a link, while another zone is cut off."""
+        peer = make_view("b").peer_by_node["node-b"]
+        tries = 0
+        for step in range(100):
+            now = 0.05 * step
+            if now >= peer.avoided_until:
+                tries += 1
+                peer.on_link_failed(now)
+        self.assertLessEqual(tries, 4)
+        peer.apply_load_report(EndpointLoad(0, 0, 10, 0.02), 5.0)
+        peer.on_link_failed(9.0)
+        self.assertFalse(peer.is_usable(9.4, 5.0))
+        self.assertTrue(peer.is_usable(9.6, 5.0))
+
     def test_a_departed_endpoint_is_used_again_because_its_node_forgot_the_departure(self) -> None:
         """A restarted node may apply a late heartbeat and report the endpoint as ready."""
         view = PeerView("a", random.Random(1))
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -14,7 +14,6 @@
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
-from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.placement import Placement
 from pollenglade_core.dispatch.tree_cost import Usage
@@ -270,7 +269,7 @@
         peer = self.current_sink.peer
         self._last_refusal = refusal
         if refusal.reason is Reason.LINK_FAILED:
-            peer.avoided_until = monotonic() + LINK_FAILURE_AVOIDANCE_S
+            peer.on_link_failed(monotonic())
         if refusal.outcome is Outcome.NOT_RUN:
             self._on_not_run(refusal, peer)
             return
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -15,7 +15,6 @@
 
 from pollenglade_core.dispatch.evacuation import ZoneRecord
 from pollenglade_core.dispatch.evacuation import decode_records
-from pollenglade_core.dispatch.peer_view import LINK_FAILURE_AVOIDANCE_S
 from pollenglade_core.dispatch.peer_view import SUSPICION_S
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.peer_view import PeerView
@@ -409,7 +408,7 @@
         if peer is None:
             return
         now = monotonic()
-        peer.avoided_until = now + LINK_FAILURE_AVOIDANCE_S
+        peer.on_link_failed(now)
         peer.is_silent = True
         silence = self._silence_by_node.get(node)
         if silence is None:
