--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/peer_view.py
@@ -255,7 +255,7 @@
         """
         load = self.load
         used_fraction = (load.running + load.waiting + self.sent) / load.capacity
-        free_factor = max(0.0, 1.0 - used_fraction) ** FREE_SLOTS_EXPONENT
+        free_factor: float = max(0.0, 1.0 - used_fraction) ** FREE_SLOTS_EXPONENT
         speed = min(1.0, usual_s / max(self.expected_s(now), MIN_EXPECTED_S))
         return max(MIN_DRAW_PROBABILITY, free_factor * speed * speed)
 
