Forget the demand of routes without recent requests

Cause: the demand by route kept each route that ever had a request, also those of policies long replaced, and the refusal in the log named the fraction of the priority, which is divided among its routes since. Change: a new route removes those whose demand is negligible; the line says that the fraction is the route's. Result: test_routes_of_old_policies_are_kept fails without the change.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/route_demand.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/route_demand.py
@@ -75,11 +75,20 @@
         slot_s = max(MIN_SLOT_S, slot_s)
         demand = self._demand_by_route.get(route)
         if demand is None or demand.index != index:
+            self._forget_negligible(now)
             demand = self._demand_by_route[route] = _RouteDemand(index, slot_s)
         demand.slots = demand.average_slots(now) + slot_s / TIME_CONSTANT_S
         demand.slot_s = slot_s
         demand.updated_at = now
 
+    def _forget_negligible(self, now: float) -> None:
+        """Remove routes without recent requests, so that those of old policies are not kept."""
+        self._demand_by_route = {
+            route: demand
+            for route, demand in self._demand_by_route.items()
+            if demand.average_slots(now) > NEGLIGIBLE_SLOTS
+        }
+
     def weights(self, now: float) -> tuple[float, ...]:
         """Return the weights of the priorities."""
         slots = [0.0] * PRIORITY_COUNT
@@ -94,7 +103,7 @@
         )
 
     def admitted_fraction(self, route: str, priority_fraction: float, now: float) -> float:
-        """Return the fraction of a route's requests to admit, in [0, 1].
+        """Return the fraction of the requests to admit of a route that was just added, in [0, 1].
 
         `priority_fraction` is the fraction of the slots demanded by the route's priority that may
         be used.
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -9,9 +9,9 @@
 
 Nodes report two averages to each other for each service and priority: the slots that their trees
 occupy and the slots that their clients demand. When the demand exceeds the slots, each node admits
-the fraction of a priority that follows from the demand at all nodes. Occupied slots alone do not
-suffice: the values of other nodes are old, so all nodes would alternate between refusing and
-admitting together.
+the fraction of a priority that follows from the demand at all nodes, divided among its routes by
+`route_demand`. Occupied slots alone do not suffice: the values of other nodes are old, so all nodes
+would alternate between refusing and admitting together.
 """
 
 from __future__ import annotations
@@ -161,8 +161,8 @@
     """Why a tree should not start.
 
     `service` is the one with the highest load, `committed` the slots that running trees of all
-    nodes and priorities occupy there, `admitted_fraction` the fraction of the priority's demand
-    that is admitted, and `success_rate` the expected fraction of trees that finish.
+    nodes and priorities occupy there, `admitted_fraction` the fraction of the route's demand that
+    is admitted, and `success_rate` the expected fraction of trees that finish.
     """
 
     service: str
@@ -175,7 +175,7 @@
     def __str__(self) -> str:
         return (
             f"{self.service}: {self.committed:.1f} of {self.slots:.0f} slots spoken for, "
-            f"{self.admitted_fraction:.0%} of the priority admitted, "
+            f"{self.admitted_fraction:.0%} of the route admitted, "
             f"{self.success_rate:.0%} of the trees would finish"
         )
 
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_route_demand.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_route_demand.py
@@ -68,8 +68,14 @@
             demand.add("layout", 2, 0.48, 60.0)
         self.assertAlmostEqual(demand.admitted_fraction("layout", 0.6, 60.0), 0.6, places=3)
 
+    def test_routes_of_old_policies_are_kept(self) -> None:
+        demand = RouteDemand()
+        for number in range(100):
+            demand.add(f"route-{number}", 2, 0.1, 60.0 * number)
+        self.assertLess(len(demand._demand_by_route), 3)
+
     def test_a_route_without_slot_time_is_admitted(self) -> None:
-        demand = demand_of({"free": (0.0, 5), "layout": (0.48, 5)})
+        demand = demand_of({"layout": (0.48, 5), "free": (0.0, 5)})
         self.assertEqual(demand.admitted_fraction("free", 0.5, 0.0), 1.0)
 
 
