Bound a route's fraction by that of more important priorities, and ignore rare cheap routes

Cause: the division within a priority could admit a cheap route of the last priority at a larger fraction than a more important priority. The cheapest route set the weights of all others, so that one that costs next to nothing made all others look alike, and routes of negligible demand were divided for themselves by other weights than for the others (found by the property test with many examples: 0.1875 where 0.25 is the least).

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/route_demand.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/route_demand.py
@@ -3,10 +3,11 @@
 Handles a lasting overload of a service that several routes need, such as one endpoint that is left
 of three. A request of one route may occupy a slot for several times as long as one of another, so
 equal fractions of both serve few callers. Within a priority, the admitted fraction of a route is
-therefore inversely proportional to the slot time of its requests. Between priorities, the weight of
-the least important ones falls with the slot time of their requests relative to that of the most
-important ones. A route keeps at least a quarter of the fraction of the others of its priority, and
-no priority gets a larger fraction than a more important one.
+therefore inversely proportional to the slot time of its requests, except that the cheapest quarter
+of the requests counts as equal, so that a rare cheap route does not make all others look alike.
+Between priorities, the weight of the least important ones falls with the slot time of their
+requests relative to that of the most important ones. A route keeps at least a quarter of the
+fraction of the others of its priority, and gets no larger fraction than a more important priority.
 
 Each node divides by the mix of its own requests, which on average is that of all nodes.
 """
@@ -31,18 +32,21 @@
 """Time constant in seconds of the demand by route; the mix of routes changes more slowly than the
 demand, and one node sees few requests of each."""
 
+FORGET_AFTER_S = 10 * TIME_CONSTANT_S
+"""Time in seconds without a request after which a route is forgotten; its demand is nearly 0."""
+
 MIN_SLOT_S = 1e-6
 """Lower bound on a slot time in seconds, which prevents a division by zero."""
 
-NEGLIGIBLE_SLOTS = 1e-3
-"""Demand in slots below which a route does not count."""
+CHEAP_FRACTION = 0.25
+"""Fraction of the requests, the cheapest ones, that have the largest weight."""
 
 
 @dataclass(slots=True)
 class _RouteDemand:
     """Slot time in seconds of one request of a route, and the average slots it demands."""
 
-    index: int
+    priority_index: int
     slot_s: float
     slots: float = 0.0
     updated_at: float = 0.0
@@ -64,29 +68,42 @@
     return tuple(weights)
 
 
+def _cheap_slot_s(requests_by_cost: Sequence[tuple[float, float]]) -> float:
+    """Return the largest slot time among the cheapest requests, `CHEAP_FRACTION` of all.
+
+    The argument has the slot time and the number of requests of each route, by slot time.
+    """
+    remaining = CHEAP_FRACTION * sum(requests for _, requests in requests_by_cost)
+    for slot_s, requests in requests_by_cost:
+        remaining -= requests
+        if remaining <= 0.0:
+            return slot_s
+    return requests_by_cost[-1][0]
+
+
 class RouteDemand:
     """Demand of this node's requests for the slots of one service, by route."""
 
     def __init__(self) -> None:
         self._demand_by_route: dict[str, _RouteDemand] = {}
 
-    def add(self, route: str, index: int, slot_s: float, now: float) -> None:
+    def add(self, route: str, priority_index: int, slot_s: float, now: float) -> None:
         """Count a request of a route whose priority has this index."""
         slot_s = max(MIN_SLOT_S, slot_s)
         demand = self._demand_by_route.get(route)
-        if demand is None or demand.index != index:
-            self._forget_negligible(now)
-            demand = self._demand_by_route[route] = _RouteDemand(index, slot_s)
+        if demand is None or demand.priority_index != priority_index:
+            self._forget_unused(now)
+            demand = self._demand_by_route[route] = _RouteDemand(priority_index, slot_s)
         demand.slots = demand.average_slots(now) + slot_s / TIME_CONSTANT_S
         demand.slot_s = slot_s
         demand.updated_at = now
 
-    def _forget_negligible(self, now: float) -> None:
+    def _forget_unused(self, now: float) -> None:
         """Remove routes without recent requests, so that those of old policies are not kept."""
         self._demand_by_route = {
             route: demand
             for route, demand in self._demand_by_route.items()
-            if demand.average_slots(now) > NEGLIGIBLE_SLOTS
+            if now - demand.updated_at < FORGET_AFTER_S
         }
 
     def weights(self, now: float) -> tuple[float, ...]:
@@ -95,30 +112,30 @@
         requests = [0.0] * PRIORITY_COUNT
         for demand in self._demand_by_route.values():
             average_slots = demand.average_slots(now)
-            if average_slots > NEGLIGIBLE_SLOTS:
-                slots[demand.index] += average_slots
-                requests[demand.index] += average_slots / demand.slot_s
+            slots[demand.priority_index] += average_slots
+            requests[demand.priority_index] += average_slots / demand.slot_s
         return priority_weights(
             [used / count if count else 0.0 for used, count in zip(slots, requests, strict=True)]
         )
 
-    def admitted_fraction(self, route: str, priority_fraction: float, now: float) -> float:
+    def admitted_fraction(
+        self, route: str, priority_fraction: float, max_fraction: float, now: float
+    ) -> float:
         """Return the fraction of the requests to admit of a route that was just added, in [0, 1].
 
         `priority_fraction` is the fraction of the slots demanded by the route's priority that may
-        be used.
+        be used, `max_fraction` the largest fraction that a route may get.
         """
-        index = self._demand_by_route[route].index
+        priority_index = self._demand_by_route[route].priority_index
         demands = sorted(
-            (
-                (other.slot_s, other.average_slots(now), name)
-                for name, other in self._demand_by_route.items()
-                if other.index == index
-            ),
+            (other.slot_s, other.average_slots(now), name)
+            for name, other in self._demand_by_route.items()
+            if other.priority_index == priority_index
         )
-        demands = [item for item in demands if item[1] > NEGLIGIBLE_SLOTS or item[2] == route]
-        least_slot_s = demands[0][0]
-        offered = [slots for _, slots, _ in demands]
-        weights = [max(MIN_WEIGHT, least_slot_s / slot_s) for slot_s, _, _ in demands]
-        fractions = weighted_fractions(offered, weights, priority_fraction * sum(offered))
-        return fractions[[name for _, _, name in demands].index(route)]
+        cheap_slot_s = _cheap_slot_s([(slot_s, slots / slot_s) for slot_s, slots, _ in demands])
+        admissible = [slots * max_fraction for _, slots, _ in demands]
+        weights = [max(MIN_WEIGHT, min(1.0, cheap_slot_s / slot_s)) for slot_s, _, _ in demands]
+        divided_slots = priority_fraction * sum(slots for _, slots, _ in demands)
+        fractions = weighted_fractions(admissible, weights, divided_slots)
+        position = [name for _, _, name in demands].index(route)
+        return max_fraction * fractions[position]
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -312,7 +312,10 @@
             if sum(use.offered) > admissible_slots:
                 weights = route_demand.weights(now)
                 fractions = admitted_fractions(use.offered, admissible_slots, weights)
-                admitted_fraction = route_demand.admitted_fraction(route, fractions[index], now)
+                max_fraction = fractions[index - 1] if index else 1.0
+                admitted_fraction = route_demand.admitted_fraction(
+                    route, fractions[index], max_fraction, now
+                )
             max_slots = max(slots, MIN_COMPARED_SLOTS) * MAX_USE_BY_PRIORITY[index]
             fits = (
                 random_value < admitted_fraction
--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_route_demand.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_route_demand.py
@@ -38,7 +38,7 @@
         demand = demand_of(requests_by_route)
         used_s = offered_s = 0.0
         for route, (slot_s, requests) in requests_by_route.items():
-            fraction = demand.admitted_fraction(route, priority_fraction, 0.0)
+            fraction = demand.admitted_fraction(route, priority_fraction, 1.0, 0.0)
             self.assertTrue(0.0 <= fraction <= 1.0)
             used_s += fraction * slot_s * requests
             offered_s += slot_s * requests
@@ -50,7 +50,9 @@
     ) -> None:
         demand = demand_of(requests_by_route)
         by_cost = sorted(requests_by_route, key=lambda route: requests_by_route[route][0])
-        fractions = [demand.admitted_fraction(route, priority_fraction, 0.0) for route in by_cost]
+        fractions = [
+            demand.admitted_fraction(route, priority_fraction, 1.0, 0.0) for route in by_cost
+        ]
         for cheaper, dearer in pairwise(fractions):
             self.assertLessEqual(dearer, cheaper + 1e-9)
         self.assertGreaterEqual(fractions[-1], MIN_WEIGHT * fractions[0] - 1e-9)
@@ -59,14 +61,31 @@
         demand = demand_of({"history": (0.12, 20)})
         for _ in range(20):
             demand.add("certificate", 0, 0.03, 0.0)
-        self.assertAlmostEqual(demand.admitted_fraction("history", 0.6, 0.0), 0.6)
+        self.assertAlmostEqual(demand.admitted_fraction("history", 0.6, 1.0, 0.0), 0.6)
+
+    @given(ROUTES, st.floats(0.01, 1.0), st.floats(0.0, 1.0))
+    def test_a_cheap_route_gets_a_larger_fraction_than_a_more_important_priority(
+        self, requests_by_route: dict[str, tuple[float, int]], max_fraction: float, part: float
+    ) -> None:
+        """Reads would be served more often than the payments that need the same service."""
+        demand = demand_of(requests_by_route)
+        for route in requests_by_route:
+            fraction = demand.admitted_fraction(route, part * max_fraction, max_fraction, 0.0)
+            self.assertLessEqual(fraction, max_fraction)
+
+    def test_a_rare_cheap_route_makes_all_others_look_alike(self) -> None:
+        demand = demand_of({"health": (0.001, 1), "history": (0.12, 30), "layout": (0.48, 5)})
+        history, layout = (
+            demand.admitted_fraction(route, 0.5, 1.0, 0.0) for route in ("history", "layout")
+        )
+        self.assertAlmostEqual(layout, history / 4, places=3)
 
     def test_a_route_whose_requests_have_ended_no_longer_counts(self) -> None:
         """A mix of some time ago would leave slots unused."""
         demand = demand_of({"history": (0.12, 20), "layout": (0.48, 20)})
         for _ in range(20):
             demand.add("layout", 2, 0.48, 60.0)
-        self.assertAlmostEqual(demand.admitted_fraction("layout", 0.6, 60.0), 0.6, places=3)
+        self.assertAlmostEqual(demand.admitted_fraction("layout", 0.6, 1.0, 60.0), 0.6, places=3)
 
     def test_routes_of_old_policies_are_kept(self) -> None:
         demand = RouteDemand()
@@ -76,7 +95,7 @@
 
     def test_a_route_without_slot_time_is_admitted(self) -> None:
         demand = demand_of({"layout": (0.48, 5), "free": (0.0, 5)})
-        self.assertEqual(demand.admitted_fraction("free", 0.5, 0.0), 1.0)
+        self.assertEqual(demand.admitted_fraction("free", 0.5, 1.0, 0.0), 1.0)
 
 
 class PriorityWeightsTest(unittest.TestCase):
