--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -294,7 +294,8 @@
 class Endpoint:
     """An application endpoint: runs requests, echoes their id, signs, tells its load.
 
-    `reject` decides whether a request is rejected as not run; `answer` may replace the answer.
+    `reject` decides whether a request is rejected as not run. A request with `crashing_path`
+    crashes the endpoint when it begins to run; it is back after `crashed_for_s` with another id.
     """
 
     _births = itertools.count(1)
@@ -307,6 +308,9 @@
         self.slots = slots
         self.work_s = 0.02
         self.reject: Callable[[], bool] = lambda: False
+        self.crashing_path = ""
+        self.crashes: list[tuple[float, str]] = []
+        self.crashed_for_s = 2.0
         self.arrivals: list[tuple[float, str, bool]] = []
         self.running = 0
         self.sequence = 0
@@ -378,6 +382,9 @@
         self.arrivals.append((now, request_id, True))
         tenant = fields.get("pollenglade-tenant-id", "-")
         self._fleet.record(f"{self.endpoint_id} ran {request_id} {method} {target} of {tenant}")
+        if target == self.crashing_path:
+            self._crash(request_id)
+            raise ConnectionError
         self.running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -387,6 +394,23 @@
         answer_fields |= {"Pollenglade-Response-Signature": "s1", "Content-Length": len(text)}
         return encode("HTTP/1.1 200 OK", answer_fields, text)
 
+    def _crash(self, request_id: str) -> None:
+        self._fleet.record(f"{self.endpoint_id} crashes with {request_id}")
+        self.crashes.append((time.monotonic(), request_id))
+        self.sends_heartbeats = False
+        # As when a process ends: the port first, then its connections.
+        self.close()
+        self._restart = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.crashed_for_s)
+        self.endpoint_id = f"i-{random.getrandbits(32):08x}"
+        self.sequence = 0
+        self.born_ms = int(time.time() * 1000) + next(self._births)
+        await self.start()
+        self._fleet.record(f"{self.endpoint_id} starts in its place")
+        self.sends_heartbeats = True
+
     def close(self) -> None:
         if self._server is not None:
             self._server.close()
