--- a/review/5/case.py
+++ b/review/5/case.py
@@ -76,7 +76,8 @@
     ]
     fleet.record.show(
         f"{len(late)} requests reached the leaving endpoint that were taken and sent on more than "
-        f"{judged_from - confirmed_at:.1f} s after the confirmation, the last {max(late, default=0):.1f} s"
+        f"{judged_from - confirmed_at:.1f} s after the confirmation, "
+        f"the last {max(late, default=0):.1f} s"
     )
     return BROKEN if late else HELD
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -684,6 +684,10 @@
 
     async def main() -> int:
         fleet = Fleet(case)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
                 await fleet.start()
@@ -692,6 +696,8 @@
             fleet.record.show(f"could not run: {error}")
         except TimeoutError:
             fleet.record.show("could not run: out of time")
+        except asyncio.CancelledError:
+            fleet.record.show("could not run: ended by a signal")
         except Exception as error:
             # A fault of the script must not count as a broken rule.
             fleet.record.show(f"could not run: {error!r}")
