--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 
 from standins import BROKEN
 from standins import HELD
-from standins import CouldNotRun
+from standins import CouldNotRunError
 from standins import Fleet
 from standins import SilencingProxy
 from standins import manifest
@@ -68,7 +68,7 @@
             old_effects.append((sent_after_s, "run with a dropped key"))
         await asyncio.sleep(0.05)
     if not new_effects and not old_effects:
-        raise CouldNotRun("no request was served")
+        raise CouldNotRunError("no request was served")
     # The bound with all of the stretch that any excuse could add.
     late = [item for item in old_effects if item[0] > CONFIG_APPLY_S + MAX_STRETCH_S]
     past_bound = [item for item in old_effects if item[0] > CONFIG_APPLY_S]
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 
 from standins import BROKEN
 from standins import HELD
-from standins import CouldNotRun
+from standins import CouldNotRunError
 from standins import Fleet
 from standins import call
 from standins import manifest
@@ -45,7 +45,7 @@
     await asyncio.sleep(0.1)
     status, _ = await call(node.admin, "DELETE", path, {}, timeout_s=1.0)
     if status != 200:
-        raise CouldNotRun("the departure was not confirmed")
+        raise CouldNotRunError("the departure was not confirmed")
     confirmed_at = time.monotonic()
     endpoint.is_leaving = True
     fleet.record.show(f"{node.name} confirms that {endpoint.endpoint_id} leaves")
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import contextlib
 import itertools
 import json
 import os
@@ -33,7 +34,7 @@
 Head = tuple[str, dict[str, str]]
 
 
-class CouldNotRun(Exception):
+class CouldNotRunError(Exception):
     """The case could not be played as intended."""
 
 
@@ -201,10 +202,8 @@
             remaining_s = deadline - time.monotonic()
             if rows or remaining_s <= 0:
                 return {"Rows": rows, "Ver": self.version, "NowMs": self._now_ms()}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), remaining_s)
-            except asyncio.TimeoutError:
-                pass
 
     def _transact(self, body: dict[str, list[dict[str, object]]]) -> tuple[int, dict[str, object]]:
         for row in body.get("Expected", []):
@@ -618,7 +617,7 @@
 
     async def start(self) -> None:
         if not (ROOT / "target" / "deps" / "pollenglade_platform").is_dir():
-            raise CouldNotRun("target/deps is missing; run sh deploy/build.sh")
+            raise CouldNotRunError("target/deps is missing; run sh deploy/build.sh")
         await self.store.start(f"{self.prefix}.254")
 
     def add(self, service: str, zone: str = "z1", slots: int = 40) -> Node:
@@ -642,7 +641,7 @@
                     while not await node.is_ready():
                         await asyncio.sleep(0.05)
         except TimeoutError:
-            raise CouldNotRun("the nodes did not become ready") from None
+            raise CouldNotRunError("the nodes did not become ready") from None
 
     async def send(
         self,
@@ -692,7 +691,7 @@
             async with asyncio.timeout(TIME_LIMIT_S):
                 await fleet.start()
                 return await play(fleet)
-        except CouldNotRun as error:
+        except CouldNotRunError as error:
             fleet.record.show(f"could not run: {error}")
         except TimeoutError:
             fleet.record.show("could not run: out of time")
