Check that no open request to the store misses a change

Cause: the request that waits for changes was bounded by its own time-out of 25 s only, and a silent connection looks like a store without changes. If all connections go silent together, no peer knows the new manifest either.

Change: nodes ask the store on a new connection whether the open request misses a change, and replace it if so. The age of the latest check goes with the state messages, so that one node checks for all, about once a second.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -14,6 +14,7 @@
 from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
+from pollenglade_core.policy.source_checks import SourceChecks
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
@@ -105,6 +106,7 @@
         self.policy = PolicyExchange(
             decode, self._links, lambda: self.peers.other_nodes, random_source
         )
+        self.source_checks = SourceChecks(random_source)
         self._retry_budgets = ServiceRetryBudgets(settings.retries, monotonic())
         self._token_broker = TokenBroker(
             settings.node, self._links, settings.allowance, settings.first_start, random_source
@@ -155,6 +157,7 @@
         self.peers.on_evacuations = self.evacuation.apply_records
         self.peers.on_members_changed = self._on_members_changed
         self.peers.on_peer_state = self._on_peer_state
+        self.peers.on_source_age = self._on_source_age
         self.serving.on_endpoint_changed = self._on_endpoint_changed
         self.serving.on_crash = self._on_crash
         self._links.on_peer_disconnected = self.peers.on_disconnected
@@ -179,6 +182,7 @@
             self._entry.use_by_service,
             self.serving.is_endpoint_leaving,
             self.evacuation.records,
+            self.source_checks.age_s(monotonic()),
         )
 
     def _on_evacuation_changed(self) -> None:
@@ -223,6 +227,14 @@
         self.policy.on_peer_version(node, policy_version)
         self.trees.on_peer_seen(node)
 
+    def _on_source_age(self, age_s: float) -> None:
+        self.source_checks.record(monotonic() - age_s)
+
+    def on_source_checked(self, began_at: float) -> None:
+        """Record a check of the policy source and tell some peers, which then make none."""
+        self.source_checks.on_success(began_at)
+        self.peers.push_to_some()
+
     def _on_endpoint_changed(self) -> None:
         self._refresh_local_peer()
         if self.serving.is_endpoint_leaving:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from time import monotonic
 
 import structlog
@@ -35,6 +36,13 @@
 EVACUATIONS_FIELD = "evacuations"
 """Key of the records of evacuated zones in the map at the end of a state message."""
 
+SOURCE_AGE_FIELD = "source-age"
+"""Key of the age of the latest check of the policy source in a map at the end of a state message.
+"""
+
+MAX_SENT_SOURCE_AGE_S = 10.0
+"""Age in seconds of a check from which on other nodes are not told of it; they make their own."""
+
 MAX_SILENCE_STEP_S = 2.0
 """Largest time in seconds that one failed query adds to the silence of a peer.
 
@@ -80,7 +88,8 @@
     `ready` is `EndpointServing.is_available` of the node: whether its endpoint accepts calls. It
     differs from `MeshNode.is_ready`, which says whether the node accepts requests of clients.
     `leaving` says that the endpoint itself is shutting down. `evacuations` are the node's records
-    of evacuated zones.
+    of evacuated zones. `source_age_s` is the age in seconds of the latest check of the policy
+    source that the node knows of.
     """
 
     member: MeshMember
@@ -91,6 +100,7 @@
     use_by_service: Mapping[str, SlotUse] = field(default_factory=dict)
     leaving: bool = False
     evacuations: tuple[ZoneRecord, ...] = ()
+    source_age_s: float = inf
 
     def to_wire(self) -> list[object]:
         """Return the state as a list of plain values for the link."""
@@ -117,8 +127,14 @@
             [self.endpoint.incarnation, self.leaving, load.rate_limit],
             *pace,
             *(evacuations if self.evacuations else ()),
+            *self._source_age_to_wire(),
         ]
 
+    def _source_age_to_wire(self) -> list[object]:
+        if self.source_age_s > MAX_SENT_SOURCE_AGE_S:
+            return []
+        return [{SOURCE_AGE_FIELD: round(self.source_age_s, 2)}]
+
     @classmethod
     def from_wire(cls, value: object) -> NodeState | None:
         """Decode a state; None if a field is missing or has the wrong type.
@@ -172,6 +188,7 @@
                     use_by_service,
                     leaving,
                     _decode_evacuations(statement),
+                    _decode_source_age(statement),
                 )
         return None
 
@@ -193,6 +210,14 @@
     return ()
 
 
+def _decode_source_age(elements: list[object]) -> float:
+    for element in elements:
+        match element:
+            case {"source-age": float() | int() as age_s}:
+                return max(0.0, float(age_s))
+    return inf
+
+
 def _decode_pace(value: list[object]) -> float | None:
     """Return the pace of an endpoint that states one, from the map among the trailing values."""
     for item in value:
@@ -228,7 +253,8 @@
 
     `on_members_changed` is called after a change of the member list, `on_peer_state` with the node
     and its policy version after each state message, `on_evacuations` with the node and its records
-    of evacuated zones before the state is applied.
+    of evacuated zones before the state is applied, `on_source_age` with the age in seconds of the
+    latest check of the policy source that the peer knows of.
     """
 
     def __init__(
@@ -257,6 +283,7 @@
         self.on_evacuations: Callable[[tuple[ZoneRecord, ...], str], None] = lambda records, node: (
             None
         )
+        self.on_source_age: Callable[[float], None] = lambda age_s: None
 
     def start(self) -> None:
         """Start sending state messages periodically."""
@@ -458,6 +485,7 @@
         if self._silence_by_node.pop(node, None) is not None:
             peer.avoided_until = float("-inf")
             log.info("peer_regained", peer=node)
+        self.on_source_age(state.source_age_s)
         self.on_peer_state(node, state.policy_version)
 
     def close(self) -> None:
