Count the retries of each window instead of spending tokens

Cause: the bucket of retry tokens was full when failures began and was refilled during them; a window that begins with a full bucket permitted 1.5 times the bounds in all. A restarted node also had its part of the slack anew.

A restarted node has no slack for one window.

--- a/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
+++ b/packages/pollenglade-core/tests/test_core/test_dispatch/test_dispatch.py
@@ -162,6 +162,54 @@
         self.assertLessEqual(retries, bounds.ratio * requests + bounds.slack)
         self.assertGreater(retries, bounds.ratio * requests * 0.4)
 
+    def retries_in_worst_window(
+        self, nodes: list[ServiceRetryBudgets], first_failure_s: float, ends_s: float
+    ) -> tuple[int, int]:
+        """Play failures of one service; return the most retries in a window, and its requests.
+
+        From `first_failure_s` on, each request of the nodes is retried as often as they permit.
+        """
+        bounds = RetryBounds()
+        requested_at: list[float] = []
+        retried_at: list[float] = []
+        for step in range(int(ends_s * 36)):
+            now = step / 36
+            node = nodes[step % len(nodes)]
+            node.on_request("jury", now)
+            requested_at.append(now)
+            while now >= first_failure_s and node.try_debit({"jury": 1.0}, now):
+                retried_at.append(now)
+        counts = []
+        for start in retried_at:
+            end = start + bounds.window_s
+            retries = sum(start <= at < end for at in retried_at)
+            counts.append((retries, sum(start <= at < end for at in requested_at)))
+        return max(counts)
+
+    def test_a_budget_that_is_unused_so_far_is_spent_beside_the_one_that_is_earned(self) -> None:
+        """Both together were 1.5 times what one window permits (review case 3)."""
+        bounds = RetryBounds()
+        for node_count in (1, 4, 16):
+            nodes = [ServiceRetryBudgets(bounds, 0.0) for _ in range(node_count)]
+            for node in nodes:
+                node.set_node_count(node_count)
+            retries, requests = self.retries_in_worst_window(nodes, 14.0, 40.0)
+            with self.subTest(nodes=node_count):
+                self.assertLessEqual(retries, bounds.ratio * requests + bounds.slack)
+                self.assertGreaterEqual(retries, 0.8 * (bounds.ratio * requests + bounds.slack))
+
+    def test_restarted_nodes_have_the_slack_of_their_predecessors_again(self) -> None:
+        """Killed nodes return within a second, while what they have spent still counts."""
+        bounds = RetryBounds()
+        nodes = [ServiceRetryBudgets(bounds, 0.0) for _ in range(4)]
+        successors = [ServiceRetryBudgets(bounds, 11.0, restarted=True) for _ in range(4)]
+        for node in [*nodes, *successors]:
+            node.set_node_count(4)
+        spent = sum(node.try_debit({"jury": 1.0}, 10.0) for node in nodes for _ in range(20))
+        spent += sum(node.try_debit({"jury": 1.0}, 19.9) for node in successors for _ in range(20))
+        self.assertLessEqual(spent, bounds.slack)
+        self.assertTrue(successors[0].try_debit({"jury": 1.0}, 21.0))
+
     def test_a_retry_is_charged_at_every_service_of_its_tree(self) -> None:
         """A retry of a root request would repeat its nested calls without charge."""
         budgets = ServiceRetryBudgets(RetryBounds(slack=8.0), 0.0)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -107,7 +107,9 @@
             decode, self._links, lambda: self.peers.other_nodes, random_source
         )
         self.source_checks = SourceChecks(random_source)
-        self._retry_budgets = ServiceRetryBudgets(settings.retries, monotonic())
+        self._retry_budgets = ServiceRetryBudgets(
+            settings.retries, monotonic(), restarted=not settings.first_start
+        )
         self._token_broker = TokenBroker(
             settings.node, self._links, settings.allowance, settings.first_start, random_source
         )
