Keep departures of endpoints across restarts of their nodes

Cause: the departure was only in the memory of the nodes, and no node told the new process what it remembered. With all nodes killed, none remembered it.

Change: nodes tell a peer of the departure that it has forgotten.

--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -123,14 +123,17 @@
         """Whether a report adds only the incarnation of an endpoint found by a health check."""
         return self.identity == EndpointIdentity(identity.endpoint_id)
 
-    def apply_health_check(self, endpoint_id: str, address: str, slots: int) -> bool:
+    def apply_health_check(self, endpoint_id: str, address: str, slots: int, now: float) -> bool:
         """Mark the endpoint ready after a health check, if no heartbeat has been received yet.
 
         Returns whether the result was applied.
         """
-        if self.state is not LocalEndpointState.ABSENT or self._departure is not None:
+        identity = EndpointIdentity(endpoint_id)
+        if self.state is not LocalEndpointState.ABSENT:
             return False
-        self.identity = EndpointIdentity(endpoint_id)
+        if self._departure is not None and self._departure.covers(identity, now):
+            return False
+        self.identity = identity
         self.address = address
         self.slots = slots
         self.state = LocalEndpointState.READY
@@ -178,6 +181,25 @@
         self.state = LocalEndpointState.DRAINING
         return True
 
+    def restore_departure(self, endpoint: EndpointIdentity, at: float, now: float) -> bool:
+        """Record a departure that became known at `at`, in seconds, to the node's former process.
+
+        Returns False and does nothing if a later departure or another endpoint is known.
+        """
+        known = self._departure
+        departure = Departure(endpoint, at)
+        if known is not None and (
+            self.state is not LocalEndpointState.ABSENT
+            or endpoint.incarnation <= known.endpoint.incarnation
+        ):
+            return False
+        if self.state is not LocalEndpointState.ABSENT:
+            if not departure.covers(self.identity, now):
+                return False
+            self.state = LocalEndpointState.DRAINING
+        self._departure = departure
+        return True
+
     def mark_down(self) -> None:
         """Record that the endpoint refuses connections; the next heartbeat makes it ready again."""
         if self.state is LocalEndpointState.READY:
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -54,11 +54,26 @@
         self.assertIs(self.apply(sequence=9), ReportResult.ALREADY_LEFT)
         self.assertFalse(self.record.is_ready)
 
+    def test_a_restored_departure_ends_the_use_of_another_endpoint(self) -> None:
+        """It belongs to one start of an endpoint, also if a later one has the same id."""
+        for endpoint in (EndpointIdentity("i-0", 50), EndpointIdentity("i-1", 90)):
+            self.assertFalse(self.record.restore_departure(endpoint, 0.0, 1.0))
+            self.assertTrue(self.record.is_ready)
+        self.assertTrue(self.record.restore_departure(self.record.identity, 0.0, 1.0))
+        self.assertFalse(self.record.is_ready)
+
+    def test_a_restarted_node_takes_the_older_of_two_departures(self) -> None:
+        """The store and the other nodes may know different ones."""
+        self.record = EndpointRecord("calls")
+        for incarnation in (90, 100, 95):
+            self.record.restore_departure(EndpointIdentity("i-1", incarnation), 0.0, 0.0)
+        self.assertIs(self.record.apply(REPORT, 1.0), ReportResult.ALREADY_LEFT)
+
     def test_a_restarted_node_forgets_a_departure_that_it_confirmed(self) -> None:
         """It did not know the endpoint yet, and a late report made the endpoint ready."""
         self.record = EndpointRecord("calls")
         self.assertTrue(self.record.mark_leaving("i-1", 0.5))
-        self.assertFalse(self.record.apply_health_check("i-1", REPORT.address, 8))
+        self.assertFalse(self.record.apply_health_check("i-1", REPORT.address, 8, 0.6))
         self.assertIs(self.apply(), ReportResult.ALREADY_LEFT)
         self.assertIs(self.record.state, LocalEndpointState.DRAINING)
         self.assertIs(self.apply(endpoint_id="i-2", incarnation=200), ReportResult.STARTED)
@@ -82,9 +97,9 @@
 
     def test_a_health_check_applies_only_before_the_first_report(self) -> None:
         """It would override what the endpoint itself reports."""
-        self.assertFalse(self.record.apply_health_check("i-9", "10.0.0.1:80", 8))
+        self.assertFalse(self.record.apply_health_check("i-9", "10.0.0.1:80", 8, 0.0))
         fresh = EndpointRecord("calls")
-        self.assertTrue(fresh.apply_health_check("i-9", "10.0.0.1:80", 8))
+        self.assertTrue(fresh.apply_health_check("i-9", "10.0.0.1:80", 8, 0.0))
         self.assertTrue(fresh.is_ready)
 
     def state(
@@ -116,7 +131,7 @@
 
     def test_the_first_heartbeat_after_a_health_check_drops_the_limit(self) -> None:
         self.record = EndpointRecord("calls")
-        self.record.apply_health_check("i-1", "10.0.0.1:80", 8)
+        self.record.apply_health_check("i-1", "10.0.0.1:80", 8, 0.0)
         self.state(EndpointStatement(5.0), incarnation=-1)
         self.apply()
         self.assertEqual(self.record.rate_limit, 5.0)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -113,6 +113,7 @@
         self.record = EndpointRecord(service)
         self.is_draining = False
         self.is_zone_evacuated = False
+        self.awaits_departure = False
         self.on_endpoint_changed: Callable[[], None] = lambda: None
         self.on_crash: Callable[[list[CrashNotice]], None] = lambda notices: None
 
@@ -130,9 +131,11 @@
     def is_available(self) -> bool:
         """Whether the local endpoint is ready, and neither drained nor in an evacuated zone.
 
-        Other nodes receive it as `NodeState.ready`.
+        A restarted node does not use it until it knows of departures. Other nodes receive it as
+        `NodeState.ready`.
         """
-        return self.record.is_ready and not self.is_draining and not self.is_zone_evacuated
+        is_barred = self.is_draining or self.is_zone_evacuated or self.awaits_departure
+        return self.record.is_ready and not is_barred
 
     @property
     def is_busy(self) -> bool:
@@ -186,6 +189,19 @@
         if self.record.mark_leaving(endpoint_id, monotonic()):
             self._on_record_changed(previous_state)
 
+    def restore_departure(self, endpoint: EndpointIdentity, age_s: float) -> bool:
+        """Apply a departure known to the former process of this node; return whether it is new."""
+        previous_state, now = self.record.state, monotonic()
+        is_new = self.record.restore_departure(endpoint, now - age_s, now)
+        self._on_record_changed(previous_state)
+        return is_new
+
+    def end_departure_wait(self) -> None:
+        """Use the endpoint after the departures known to the former process were applied."""
+        if self.awaits_departure:
+            self.awaits_departure = False
+            self.on_endpoint_changed()
+
     def _on_record_changed(self, previous_state: LocalEndpointState) -> None:
         now = monotonic()
         if self.record.slots > 0:
@@ -287,7 +303,7 @@
         if not endpoint_id or slots < 1:
             return
         previous_state = self.record.state
-        if self.record.apply_health_check(endpoint_id, str(self._address), slots):
+        if self.record.apply_health_check(endpoint_id, str(self._address), slots, monotonic()):
             log.info("endpoint_found", endpoint=endpoint_id, slots=slots)
             self._queue.await_first_response(monotonic())
             self._on_record_changed(previous_state)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -25,6 +25,8 @@
 from ..membership.links import Links
 from ..serving.crash_notices import CRASH_NOTICES_TOPIC
 from ..serving.crash_notices import CrashNotices
+from .departure_exchange import DEPARTURE_TOPIC
+from .departure_exchange import DepartureExchange
 from .endpoint_serving import EndpointServing
 from .entry import MeshEntry
 from .evacuation_exchange import EVACUATION_TOPIC
@@ -138,6 +140,7 @@
             self.serving,
             self._links,
         )
+        self.departures = DepartureExchange(self.view, self._links, self.serving)
         self._limits = ServerLimits(cancel_on_eof=True)
         self._server = HttpServer(self._handle, self._limits)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -149,6 +152,7 @@
         topics[STATE_TOPIC] = self.peers.on_query
         topics[POLICY_TOPIC] = self.policy.on_query
         topics[EVACUATION_TOPIC] = self.evacuation.on_query
+        topics[DEPARTURE_TOPIC] = self.departures.on_query
         topics[TREES_TOPIC] = self.trees.on_query
         topics[LOAN_TOPIC] = self._token_broker.on_query
         topics[CRASH_NOTICES_TOPIC] = self._crash_notices.on_query
@@ -159,6 +163,7 @@
         self.peers.on_evacuations = self.evacuation.apply_records
         self.peers.on_members_changed = self._on_members_changed
         self.peers.on_peer_state = self._on_peer_state
+        self.peers.on_endpoint_state = self.departures.on_peer_state
         self.peers.on_source_age = self._on_source_age
         self.serving.on_endpoint_changed = self._on_endpoint_changed
         self.serving.on_crash = self._on_crash
@@ -241,6 +246,7 @@
         self._refresh_local_peer()
         if self.serving.is_endpoint_leaving:
             self.peers.push_now()
+            self.departures.on_leaving(self.serving.endpoint)
         else:
             self.peers.push()
 
@@ -315,6 +321,7 @@
         settings = self._settings
         await self._server.start(settings.caller_address.host, settings.caller_address.port)
         await self._links.start(settings.link_address)
+        self.departures.start(restarted=not settings.first_start)
         self.peers.start()
         self._loop_delay.start()
         log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
@@ -349,6 +356,7 @@
         self._loop_delay.close()
         if self._division_timer is not None:
             self._division_timer.cancel()
+        self.departures.close()
         self.peers.close()
         self.policy.close()
         self.evacuation.close()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -254,7 +254,8 @@
     `on_members_changed` is called after a change of the member list, `on_peer_state` with the node
     and its policy version after each state message, `on_evacuations` with the node and its records
     of evacuated zones before the state is applied, `on_source_age` with the age in seconds of the
-    latest check of the policy source that the peer knows of.
+    latest check of the policy source that the peer knows of, `on_endpoint_state` with each state
+    after the endpoint's part of it is applied.
     """
 
     def __init__(
@@ -284,6 +285,7 @@
             None
         )
         self.on_source_age: Callable[[float], None] = lambda age_s: None
+        self.on_endpoint_state: Callable[[NodeState], None] = lambda state: None
 
     def start(self) -> None:
         """Start sending state messages periodically."""
@@ -479,6 +481,7 @@
         if peer is None:
             return
         peer.apply_state(state.endpoint, state.ready, state.leaving, monotonic())
+        self.on_endpoint_state(state)
         self._view.apply_slot_use(node, state.use_by_service, monotonic())
         peer.apply_load_report(state.load, monotonic())
         peer.is_silent = False
