Accept proper spellings of requests

Clients got 400 or 404 for requests that are proper (rule DENIED): an empty line before a request, an absolute target, a host with a final dot, percent-encoded letters in host or prefix, space before a chunk extension, zeros before sizes and lengths, empty elements beside a transfer coding, many short fields in pieces.

Cause: the reader was judged against h11, which refuses some of them, and hosts and paths were compared as text. An incomplete head was measured with its line ends and colons, a complete one without.

Change: RFC 9112 (2.2, 3.2.2, 7.1) and RFC 9110 (4.2.3, 5.6.1, 8.6) decide.

--- a/packages/pollenglade-core/src/pollenglade_core/policy/traffic_policy.py
+++ b/packages/pollenglade-core/src/pollenglade_core/policy/traffic_policy.py
@@ -8,6 +8,8 @@
 
 from ..serving.warm_up import NO_WARM_UP
 from ..serving.warm_up import WarmUpRules
+from .request_location import canonical_host
+from .request_location import canonical_path
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +109,8 @@
         self.limits = limits or ClientLimits()
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes:
-            self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
+            routes_by_prefix = self._routes_by_host.setdefault(canonical_host(route.host), {})
+            routes_by_prefix[canonical_path(route.prefix)] = route
         # Look-up by digest prevents timing attacks: its duration reveals nothing about a key.
         self._organisation_by_digest = {
             sha256(key.encode()).digest(): organisation
@@ -128,10 +131,14 @@
         return frozenset().union(*of_routes, *of_organisations)
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route of the host with the longest matching path prefix, or None."""
-        routes_by_prefix = self._routes_by_host.get(host)
+        """Return the route of the host with the longest matching path prefix, or None.
+
+        `host` is the value of a Host field; equivalent spellings of it and of `path` match.
+        """
+        routes_by_prefix = self._routes_by_host.get(canonical_host(host))
         if routes_by_prefix is None:
             return None
+        path = canonical_path(path)
         # Prefixes end with a slash, so only parts of the path that end with a slash can match.
         prefix_end = path.rfind("/") + 1
         while prefix_end > 0:
--- a/packages/pollenglade-net/src/pollenglade_net/http_head.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_head.py
@@ -1,7 +1,7 @@
 """Strict parsing and checking of the heads of HTTP/1.1 messages.
 
 One compiled expression checks a complete head, so that splitting it into fields needs no further
-checks. It accepts exactly what h11 accepts, which judges it in the differential tests.
+checks. The differential tests compare it with h11, which refuses some proper messages.
 """
 
 from __future__ import annotations
@@ -34,7 +34,8 @@
 VALUE_PATTERN = re.compile(_VALUE)
 TARGET_PATTERN = re.compile(rb"[\x21-\x7e]++")
 FOLD_PATTERN = re.compile(rb"\r?\n[ \t]+")
-LENGTH_PATTERN = re.compile(rb"[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
+LENGTH_PATTERN = re.compile(rb"0+|0*+[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
+ABSOLUTE_TARGET_PATTERN = re.compile(rb"(?i:https?)://([^/?#@]+)([/?][\x21-\x7e]*+)?")
 
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -97,6 +98,9 @@
         if size > max_field_bytes:
             raise ProtocolError(f"the head is larger than {max_field_bytes} bytes; send less", 431)
     check_host(summary.hosts, version)
+    absolute = ABSOLUTE_TARGET_PATTERN.fullmatch(target)
+    if absolute is not None:
+        target, headers = _to_origin_form(method, absolute, headers)
     if summary.is_chunked and summary.content_length is not None:
         # Conflicting framings allow request smuggling.
         raise ProtocolError("send either Content-Length or Transfer-Encoding, not both")
@@ -111,6 +115,22 @@
     return RequestHead(method, target, version, headers, length, stays_open, expects_continue)
 
 
+def _to_origin_form(
+    method: bytes, target: re.Match[bytes], headers: Headers
+) -> tuple[bytes, Headers]:
+    """Return the path and query of an absolute target, and the fields with its host.
+
+    The host of the target applies whatever the Host field says (RFC 9112, section 3.2.2).
+    """
+    authority, path = target.groups()
+    if path is None:
+        path = b"*" if method == b"OPTIONS" else b"/"
+    elif path.startswith(b"?"):
+        path = b"/" + path
+    others = [item for item in headers if item[0] != b"host"]
+    return path, [(b"host", authority), *others]
+
+
 def parse_response_head(head: bytes, method: str) -> ResponseHead:
     """Parse the complete head of a response to `method`; raise ProtocolError if malformed."""
     match = STATUS_PATTERN.fullmatch(head) or _match_unfolded(
@@ -256,7 +276,8 @@
 def _read_transfer_encoding(summary: FieldSummary, value: bytes) -> bytes:
     if summary.is_chunked:
         raise ProtocolError("the message has several Transfer-Encoding fields; send one", 501)
-    if value.lower() != b"chunked":
+    # Empty list elements have no meaning.
+    if _tokens(value) - {b""} != {b"chunked"} or value.lower().count(b"chunked") > 1:
         raise ProtocolError("the only supported Transfer-Encoding is chunked", 501)
     summary.is_chunked = True
     return b"chunked"
--- a/packages/pollenglade-net/src/pollenglade_net/message_reader.py
+++ b/packages/pollenglade-net/src/pollenglade_net/message_reader.py
@@ -17,7 +17,12 @@
 from .http_message import MAX_HEAD_BYTES
 
 HEAD_END_PATTERN = re.compile(rb"\n\r?\n")
-CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,20}")
+CHUNK_SIZE_PATTERN = re.compile(rb"0*+([0-9A-Fa-f]{1,20})|0+")
+EMPTY_LINES_PATTERN = re.compile(rb"(?:\r?\n)+")
+
+HEAD_OVERHEAD_BYTES = 12 * 1024
+"""Size of a request line and of what separates fields, beyond the names and values that the limit
+on a head counts; RFC 9112 (section 3) recommends lines of at least 8,000 bytes."""
 
 Head = TypeVar("Head", RequestHead, ResponseHead)
 
@@ -104,10 +109,18 @@
         self._searched = len(buffer)
         return -1
 
+    def _starts_malformed(self) -> bool:
+        """Whether the bytes of an incomplete head cannot begin a message."""
+        return self.pending_bytes > 0 and self._buffer[self._position] < 0x21
+
+    def _skip_empty_lines(self) -> None:
+        """Advance to the first line of the next message, if empty lines may precede it."""
+
     def _read_head(self) -> Head | None:
+        self._skip_empty_lines()
         end = self._end_of_fields()
         if end < 0:
-            if self.pending_bytes and self._buffer[self._position] < 0x21:
+            if self._starts_malformed():
                 raise ProtocolError("the first line starts with a control character or a space")
             self._check_incomplete()
             return None
@@ -196,9 +209,8 @@
         end = self._buffer.find(b"\r\n", self._position)
         if end < 0:
             return
-        size, semicolon, extension = self._buffer[self._position : end].partition(b";")
-        if not semicolon:
-            size = size.rstrip(b" \t")
+        size, _, extension = self._buffer[self._position : end].partition(b";")
+        size = size.rstrip(b" \t")
         if CHUNK_SIZE_PATTERN.fullmatch(size) is None or b"\n" in extension:
             raise ProtocolError("the size of a chunk is malformed")
         self._remaining_bytes = int(size, 16)
@@ -216,10 +228,32 @@
 
 
 class RequestReader(MessageReader[RequestHead]):
-    """Reads requests."""
+    """Reads requests whose names and values of fields have at most `max_field_bytes` in all.
+
+    The limit may be changed at any time.
+    """
+
+    def __init__(self, max_field_bytes: int = MAX_HEAD_BYTES) -> None:
+        super().__init__()
+        self.max_field_bytes = max_field_bytes
+
+    def next_event(self) -> RequestHead | bytes | None:
+        """Return a head or a part of the body, or None if more bytes are needed."""
+        self._max_incomplete_bytes = self.max_field_bytes + HEAD_OVERHEAD_BYTES
+        return super().next_event()
 
     def _parse_head(self, head: bytes) -> RequestHead:
-        return parse_request_head(head, self._max_incomplete_bytes)
+        return parse_request_head(head, self.max_field_bytes)
+
+    def _starts_malformed(self) -> bool:
+        is_line_end_begun = self._buffer[self._position :] == b"\r"
+        return not is_line_end_begun and super()._starts_malformed()
+
+    def _skip_empty_lines(self) -> None:
+        # Some clients send a line end after a body (RFC 9112, section 2.2).
+        match = EMPTY_LINES_PATTERN.match(self._buffer, self._position)
+        if match is not None:
+            self._advance(match.end())
 
 
 class ResponseReader(MessageReader[ResponseHead]):
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -160,7 +160,7 @@
         if not request_id:
             self._refuse(exchange, request_id, 400, Reason.BAD_REQUEST)
             return
-        host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0].lower()
+        host = (request.header(b"host") or b"").decode("latin-1")
         path = request.target.partition(b"?")[0].decode("latin-1")
         route = policy.match(host, path)
         if route is None:
