Apply changed limits to open connections and read the rest of rejected requests

A head within a limit that a manifest had raised got 431 on a kept connection, and an idle connection was closed by the time-out of an earlier manifest. A client that was still sending a rejected request got a reset in place of the response.

Cause: both limits were read once for a connection or an idle time. The connection was closed while unread data arrived, which resets it.

Change: the limits are read when they are applied. After a rejection the sending side is closed and input is discarded for 1 s at most. An empty line does not begin the time for a head.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -37,6 +37,9 @@
 """Time within which a caller that has closed its sending side must read the buffered output;
 endpoints abort a response that stays unread for about as long."""
 
+REJECTION_LINGER_S = 1.0
+"""Time for which the rest of a rejected request is read and discarded."""
+
 EXPIRY_CHECK_INTERVAL_S = 0.5
 """Interval between checks for connections that have timed out."""
 
@@ -66,6 +69,8 @@
         self._pause_timer: asyncio.TimerHandle | None = None
         self._continuation: asyncio.Handle | None = None
         self._discarding_input = False
+        self._has_rejected = False
+        self._idle_since: float | None = None
         self.writing_paused = False
 
     @property
@@ -88,7 +93,7 @@
         if self._limits.cancel_on_eof:
             self._disconnect_detector = DisconnectDetector(self._transport)
         self._server.track_connection(self)
-        self._set_expiry(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -140,14 +145,24 @@
             self._pause_timer.cancel()
             self._pause_timer = None
 
+    def _begin_idle(self) -> None:
+        self._set_expiry(None, self.close)
+        self._idle_since = monotonic()
+
     def _set_expiry(self, delay_s: float | None, callback: Callable[[], None]) -> None:
         # The server checks all connections together, as a timer for each costs more than a request.
+        self._idle_since = None
         self._expires_at = None if delay_s is None else monotonic() + delay_s
         self._on_expiry = callback
 
     def check_expiry(self, now: float) -> None:
         """Run the expiry callback if the connection has timed out at `now`, in monotonic time."""
-        if self._expires_at is not None and now >= self._expires_at:
+        idle_timeout_s = self._limits.idle_timeout_s
+        if self._idle_since is not None and idle_timeout_s is not None:
+            # Calculated here, because the limits may have changed since the connection became idle.
+            if now >= self._idle_since + idle_timeout_s:
+                self.close()
+        elif self._expires_at is not None and now >= self._expires_at:
             self._expires_at = None
             self._on_expiry()
 
@@ -187,8 +202,9 @@
 
     def _process_event(self) -> bool:
         """Process one event; return whether there may be another one."""
-        if self._exchange is not None or not self._is_open:
+        if self._exchange is not None or not self._is_open or self._has_rejected:
             return False
+        self._reader.max_field_bytes = self._limits.head_bytes
         try:
             event = self._reader.next_event()
         except ProtocolError as error:
@@ -211,6 +227,9 @@
         elif self._awaits_continue:
             self._awaits_continue = False
             self.write(CONTINUE_HEAD)
+        elif self._request is None and not self._reader.pending_bytes:
+            # Only empty lines have arrived; no request has begun.
+            self._begin_idle()
 
     def _begin_request(self, head: RequestHead) -> None:
         self._set_expiry(None, self.close)
@@ -302,7 +321,7 @@
         self._stop_pause_timer()
         if not self._received_eof:
             self._transport.resume_reading()
-        self._set_expiry(self._limits.idle_timeout_s, self.close)
+        self._begin_idle()
         if has_data:
             # A new iteration of the event loop bounds the stack depth for pipelined requests.
             asyncio.get_running_loop().call_soon(self._process_events)
@@ -318,7 +337,18 @@
             (b"connection", b"close"),
         ]
         self.write(encode_message_head(status_line(status), headers) + body)
-        self.close()
+        self._close_after_input()
+
+    def _close_after_input(self) -> None:
+        """Close the sending side, and the connection once the caller has read the response.
+
+        Closing it while unread data arrives would reset it, and the caller could lose the response.
+        """
+        if self._transport is None:
+            return
+        self._has_rejected = self._discarding_input = True
+        self._set_expiry(REJECTION_LINGER_S, self.abort)
+        self._transport.write_eof()
 
     def close(self) -> None:
         """Close the connection after unsent data has been written."""
