Take no request in a stop that its end would cut off

Cause: any id with a dot on a route without keys counted as the request of a run, which a stopping node takes to the end. Other requests were taken for half of the time however long they usually last, and waited in the queue of the stopping node until it ended.

Change: only requests whose parent runs at the local endpoint are taken to the end, others only if twice their usual time is left. Waiting requests are given back. What is open at the end gets 503 if it has not been sent, else 502.

--- a/packages/pollenglade-net/src/pollenglade_net/http_head.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_head.py
@@ -98,9 +98,10 @@
         if size > max_field_bytes:
             raise ProtocolError(f"the head is larger than {max_field_bytes} bytes; send less", 431)
     check_host(summary.hosts, version)
-    absolute = ABSOLUTE_TARGET_PATTERN.fullmatch(target)
-    if absolute is not None:
-        target, headers = _to_origin_form(method, absolute, headers)
+    if not target.startswith(b"/"):
+        absolute = ABSOLUTE_TARGET_PATTERN.fullmatch(target)
+        if absolute is not None:
+            target, headers = _to_origin_form(method, absolute, headers)
     if summary.is_chunked and summary.content_length is not None:
         # Conflicting framings allow request smuggling.
         raise ProtocolError("send either Content-Length or Transfer-Encoding, not both")
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -204,7 +204,7 @@
         """Process one event; return whether there may be another one."""
         if self._exchange is not None or not self._is_open or self._has_rejected:
             return False
-        self._reader.max_field_bytes = self._limits.head_bytes
+        self._reader.limit_fields(self._limits.head_bytes)
         try:
             event = self._reader.next_event()
         except ProtocolError as error:
--- a/packages/pollenglade-net/src/pollenglade_net/message_reader.py
+++ b/packages/pollenglade-net/src/pollenglade_net/message_reader.py
@@ -228,28 +228,27 @@
 
 
 class RequestReader(MessageReader[RequestHead]):
-    """Reads requests whose names and values of fields have at most `max_field_bytes` in all.
-
-    The limit may be changed at any time.
-    """
+    """Reads requests whose names and values of fields have at most `max_field_bytes` in all."""
 
     def __init__(self, max_field_bytes: int = MAX_HEAD_BYTES) -> None:
         super().__init__()
-        self.max_field_bytes = max_field_bytes
+        self.limit_fields(max_field_bytes)
 
-    def next_event(self) -> RequestHead | bytes | None:
-        """Return a head or a part of the body, or None if more bytes are needed."""
-        self._max_incomplete_bytes = self.max_field_bytes + HEAD_OVERHEAD_BYTES
-        return super().next_event()
+    def limit_fields(self, max_field_bytes: int) -> None:
+        """Set the limit on the names and values of the fields of one head."""
+        self._max_field_bytes = max_field_bytes
+        self._max_incomplete_bytes = max_field_bytes + HEAD_OVERHEAD_BYTES
 
     def _parse_head(self, head: bytes) -> RequestHead:
-        return parse_request_head(head, self.max_field_bytes)
+        return parse_request_head(head, self._max_field_bytes)
 
     def _starts_malformed(self) -> bool:
         is_line_end_begun = self._buffer[self._position :] == b"\r"
         return not is_line_end_begun and super()._starts_malformed()
 
     def _skip_empty_lines(self) -> None:
+        if self.pending_bytes == 0 or self._buffer[self._position] > 0x0D:
+            return
         # Some clients send a line end after a body (RFC 9112, section 2.2).
         match = EMPTY_LINES_PATTERN.match(self._buffer, self._position)
         if match is not None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -331,6 +331,10 @@
         self._apply_actions(self._queue.offer(queued, monotonic()))
         return call
 
+    def give_back_waiting(self) -> None:
+        """Refuse the calls in the queue as not run, so that they are placed elsewhere."""
+        self._apply_actions(self._queue.drain(Reason.DRAINING))
+
     def set_zone_evacuated(self, evacuated: bool) -> None:
         """Refuse new calls and reject waiting ones while the zone of this node is evacuated."""
         was_evacuated, self.is_zone_evacuated = self.is_zone_evacuated, evacuated
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Mapping
 from hashlib import blake2b
+from math import inf
 from time import monotonic
 
 from pollenglade_core.admission.quarantine import CrashLedger
@@ -37,6 +38,7 @@
 from .endpoint_serving import EndpointServing
 from .header_names import HeaderNames
 from .mesh_call import DEFAULT_RETRY_AFTER_S
+from .mesh_call import NODE_STOPS
 from .mesh_call import RETRY_AFTER_STATUSES
 from .mesh_call import MeshCall
 from .request_log import RequestLog
@@ -46,6 +48,9 @@
 FRAMING_FIELDS = frozenset({b"content-length", b"expect"})
 """Header fields that the node generates for each hop instead of forwarding them."""
 
+STOP_RESERVE = 2.0
+"""Multiple of the usual time of a request that must be left before the process ends."""
+
 ROUTE_PRIORITY_COUNT = 16
 """Number of route priorities within one organisation priority."""
 
@@ -109,8 +114,8 @@
         self._tree_costs = TreeCosts()
         self._tree_admission = TreeAdmission()
         self._dropped_fields = names.not_forwarded | FRAMING_FIELDS
-        self._open_request_count = 0
-        self.is_closing = False
+        self._open_calls: set[MeshCall] = set()
+        self._refuses_from = self._closes_at = inf
         self.policy: TrafficPolicy | None = None
 
     @property
@@ -141,12 +146,33 @@
     @property
     def open_request_count(self) -> int:
         """Number of requests without a response so far."""
-        return self._open_request_count
+        return len(self._open_calls)
 
     @property
     def is_busy(self) -> bool:
         """Whether requests are waiting for their response."""
-        return self._open_request_count > 0
+        return bool(self._open_calls)
+
+    def stop_accepting(self, after_s: float, ends_in_s: float) -> None:
+        """Refuse new requests from `after_s` seconds on, as the process ends in `ends_in_s`.
+
+        Until then only those are accepted that usually finish before the end. Requests that runs of
+        the local endpoint make are always accepted, because the runs fail without them.
+        """
+        now = monotonic()
+        self._refuses_from, self._closes_at = now + after_s, now + ends_in_s
+
+    def end_open_requests(self) -> None:
+        """Respond to all open requests, as the process is about to end."""
+        for call in list(self._open_calls):
+            call.on_node_stops()
+
+    def _is_too_late(self, call: MeshCall, now: float) -> bool:
+        """Whether a request might be interrupted by the end of the process."""
+        if self._closes_at == inf or call.parent is not None:
+            return False
+        residence_s = self._tree_admission.residence_s(call.route.name) or 0.0
+        return now >= min(self._refuses_from, self._closes_at - STOP_RESERVE * residence_s)
 
     def handle(self, exchange: Exchange) -> None:
         """Handle one complete request."""
@@ -175,7 +201,7 @@
                 return
         call = self._new_call(exchange, request_id, route, organisation, now)
         call.policy_version = policy.version
-        self._open_request_count += 1
+        self._open_calls.add(call)
         if call.parent is not None:
             call.parent.begin_nested(call)
         self._admit(call, now)
@@ -247,9 +273,8 @@
         return digest.hexdigest()
 
     def _admit(self, call: MeshCall, now: float) -> None:
-        if self.is_closing and not call.nested:
-            # Shutdown could interrupt a new request; running requests may still make nested calls.
-            call.refuse(Refusal(Reason.DRAINING, Outcome.NOT_RUN, None, "the node stops"))
+        if self._is_too_late(call, now):
+            call.refuse(NODE_STOPS)
             return
         if call.nested and self._serving.is_run_aborted(call.declared_parent_id):
             call.refuse_parent_aborted()
@@ -350,7 +375,7 @@
 
     def on_finished(self, call: MeshCall, result: RequestResult) -> None:
         """Return an unused token, update the learnt costs, and log the result of a request."""
-        self._open_request_count -= 1
+        self._open_calls.discard(call)
         if call.has_token and not result.ran and call.organisation is not None:
             self._token_broker.give_back(call.organisation.name)
         if not call.nested:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -45,6 +45,8 @@
 MIN_ATTEMPT_S = 0.02
 """Time in seconds that must remain before the deadline for another attempt."""
 
+NODE_STOPS = Refusal(Reason.DRAINING, detail="the node stops")
+
 PARENT_ABORTED = Refusal(Reason.CANCELLED, detail="the run that made the request was given up")
 
 RETRY_AFTER_STATUSES = frozenset({429, 503})
@@ -388,16 +390,23 @@
 
     def on_parent_aborted(self) -> None:
         """Cancel the request and respond at once, because the run that made it was aborted."""
+        self._give_up(PARENT_ABORTED)
+
+    def on_node_stops(self) -> None:
+        """Cancel the request and respond at once, because the process is about to end."""
+        self._give_up(NODE_STOPS)
+
+    def _give_up(self, refusal: Refusal) -> None:
         if self.is_done:
             return
         if self._withdraw():
-            self.refuse_parent_aborted()
+            self._respond(503, refusal, ran=False)
             return
         self._cancel_pending_work()
         if self._streaming:
-            self.on_stream_failure(PARENT_ABORTED)
+            self.on_stream_failure(refusal)
             return
-        self._respond(502, PARENT_ABORTED, ran=True)
+        self._respond(502, refusal, ran=True)
 
     def _withdraw(self) -> bool:
         """Give the request up if it is certain that no endpoint runs it or ever will.
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -335,11 +335,19 @@
         self._on_endpoint_changed()
         limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
         linger_s = min(DRAIN_LINGER_S, limit_s * MAX_LINGER_FRACTION)
+        self._entry.stop_accepting(linger_s, limit_s)
+        has_given_back = False
         while monotonic() - started_at < limit_s:
-            self._entry.is_closing = monotonic() - started_at > linger_s
-            if self._entry.is_closing and not self._has_unfinished_work():
-                break
+            if monotonic() - started_at > linger_s:
+                if not has_given_back:
+                    has_given_back = True
+                    self.serving.give_back_waiting()
+                if not self._has_unfinished_work():
+                    break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        if self._entry.is_busy:
+            log.warning("requests_interrupted", open=self._entry.open_request_count)
+            self._entry.end_open_requests()
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
     def _has_unfinished_work(self) -> bool:
