Close connections after responses that name no request

Cause: late copies are recognised by the id that a response echoes. A response without an id was trusted on any connection, although it could be a copy of an earlier one without an id. Health checks, whose responses have none, shared the connections of requests.

Change: a connection is closed after a response without the id, health checks have their own connections, and 64 ids of earlier requests are remembered for each connection in place of 16. The own interface closes a connection after a call that was shed.

--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -6,7 +6,7 @@
 import re
 import socket
 import struct
-from collections import deque
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import cast
@@ -29,7 +29,7 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """A connection is not reused within this time of the idle timeout that its server announced."""
 
-MAX_EARLIER_TAGS = 16
+MAX_EARLIER_TAGS = 64
 """Number of earlier request tags that a connection remembers to detect late duplicate responses."""
 
 MAX_INTERIM_RESPONSES = 16
@@ -76,7 +76,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._tag = b""
         self._tag_field = b""
-        self._earlier_tags: deque[bytes] = deque(maxlen=MAX_EARLIER_TAGS)
+        self._earlier_tags: OrderedDict[bytes, None] = OrderedDict()
         self._discarding_response = False
         self._interim_responses = 0
         self._discarded_responses = 0
@@ -276,7 +276,9 @@
         sink, self._sink = self._sink, None
         self._stop_timer()
         if self._tag:
-            self._earlier_tags.append(self._tag)
+            self._earlier_tags[self._tag] = None
+            if len(self._earlier_tags) > MAX_EARLIER_TAGS:
+                self._earlier_tags.popitem(last=False)
         reusable = self._stays_open and not self._reader.pending_bytes and self.is_open
         if reusable:
             # The response may have ended while its sink had reading paused.
@@ -307,6 +309,14 @@
         self._stop_timer()
         self._close_with_reset()
 
+    def retire(self) -> None:
+        """Close the connection after the current response instead of using it again.
+
+        For responses that do not name their request: a late duplicate of one could not be told from
+        the response to a later request.
+        """
+        self._stays_open = False
+
     def pause(self) -> None:
         """Pause reading from the server until `resume` is called."""
         self._sink_paused = True
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -192,6 +192,9 @@
         """Store the status and the headers of the response."""
         self._status = status
         self._headers = headers
+        id_field = self._owner.names.request_id
+        if self._connection is not None and not any(name == id_field for name, _ in headers):
+            self._connection.retire()
         self._owner.on_response_head(self, status, headers)
 
     def on_data(self, data: bytes) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -109,7 +109,8 @@
         self.sent_count = 0
         self.declined_count = 0
         self.pool = ConnectionPool(max_idle=512)
-        self._health_client = HttpClient(self.pool)
+        # Responses to health checks name no request, so they must not share connections with any.
+        self._health_client = HttpClient()
         self.record = EndpointRecord(service)
         self.is_draining = False
         self.is_zone_evacuated = False
@@ -522,4 +523,5 @@
             call.cancel()
         for task in self._tasks:
             task.cancel()
+        await self._health_client.close()
         await self.pool.close()
--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -161,6 +161,8 @@
         """Buffer a small response, or start to stream a large one to the entry node."""
         self._status = status
         self._headers = end_to_end_headers(headers)
+        if self._is_shed() and self._connection is not None:
+            self._connection.retire()
         length = next((value for key, value in headers if key == b"content-length"), None)
         fits_one_message = length is not None and int(length) <= MAX_SINGLE_MESSAGE_BYTES
         if (
