Keep crash counts when an endpoint rejects the request

Cause: a call that the endpoint rejected ended as completed, which clears the crash count of its request as a harmless run does.

Change: only a run clears crash counts.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -130,6 +130,7 @@
         self._nested_usage: UsageByService = {}
         self.nested_failed = False
         self._open_nested: set[NestedCall] = set()
+        self.is_rejected = False
 
     @property
     def is_open(self) -> bool:
@@ -254,7 +255,8 @@
         if refusal is not None:
             if self._status == 421:
                 self._owner.on_wrong_endpoint()
-            self._fail(refusal, completed=refusal.outcome is Outcome.NOT_RUN)
+            self.is_rejected = refusal.outcome is Outcome.NOT_RUN
+            self._fail(refusal, completed=self.is_rejected)
             return
         sink, self._sink = self._sink, None
         feedback = self._end(completed=True)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -423,7 +423,9 @@
             if not completed:
                 self._aborted_request_ids.add(call.request_id)
         now = monotonic()
-        notices = self._crash_ledger.on_call_ended(call_id, now, completed)
+        # A request that the endpoint rejected has not shown that it can run without a crash.
+        has_run = completed and not call.is_rejected
+        notices = self._crash_ledger.on_call_ended(call_id, now, has_run)
         if notices:
             self.on_crash(notices)
         if call.is_started and completed:
