Ask peers for members and crash notices before the first manifest

Cause: both promises are in the memory of the nodes, and a restarted node asked its peers for the manifest and the evacuated zones only. Limits were divided among the members known so far.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -23,8 +23,11 @@
 from pollenglade_net.server_limits import ServerLimits
 
 from ..membership.links import Links
+from ..serving.crash_notices import CRASH_LEDGER_TOPIC
 from ..serving.crash_notices import CRASH_NOTICES_TOPIC
 from ..serving.crash_notices import CrashNotices
+from .catch_up import MEMBERS_TOPIC
+from .catch_up import CatchUp
 from .departure_exchange import DEPARTURE_TOPIC
 from .departure_exchange import DepartureExchange
 from .endpoint_serving import EndpointServing
@@ -140,6 +143,7 @@
             self.serving,
             self._links,
         )
+        self._catch_up = CatchUp(self.peers, self._links, self._crash_notices, self.evacuation)
         self.departures = DepartureExchange(self.view, self._links, self.serving)
         self._limits = ServerLimits(cancel_on_eof=True)
         self._server = HttpServer(self._handle, self._limits)
@@ -156,9 +160,11 @@
         topics[TREES_TOPIC] = self.trees.on_query
         topics[LOAN_TOPIC] = self._token_broker.on_query
         topics[CRASH_NOTICES_TOPIC] = self._crash_notices.on_query
+        topics[CRASH_LEDGER_TOPIC] = self._crash_notices.reply_with_ledger
+        topics[MEMBERS_TOPIC] = self._catch_up.on_query
         self.policy.on_change = self._on_policy_changed
-        # The records of a peer arrive before its policy, without which no request is accepted.
-        self.policy.on_ask_peer = self.evacuation.ask
+        # What a peer knows arrives before its policy, without which no request is accepted.
+        self.policy.on_ask_peer = self._catch_up.ask
         self.evacuation.on_change = self._on_evacuation_changed
         self.peers.on_evacuations = self.evacuation.apply_records
         self.peers.on_members_changed = self._on_members_changed
@@ -231,6 +237,8 @@
             self._token_broker.apply(organisations, self.peers.nodes)
 
     def _on_peer_state(self, node: str, policy_version: int) -> None:
+        if self.policy.current is None:
+            self._catch_up.ask(node)
         self.policy.on_peer_version(node, policy_version)
         self.trees.on_peer_seen(node)
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -75,6 +75,18 @@
     link_address: str
     incarnation: int
 
+    def to_wire(self) -> list[object]:
+        """Return the member as a list of plain values for the link."""
+        return [self.node, self.zone, self.service, self.link_address, self.incarnation]
+
+    @classmethod
+    def from_wire(cls, value: object) -> MeshMember | None:
+        """Decode a member; None if a field is missing or has the wrong type."""
+        match value:
+            case [str(node), str(zone), str(service), str(address), int(incarnation)]:
+                return cls(node, zone, service, address, incarnation)
+        return None
+
     def has_same_location(self, other: MeshMember) -> bool:
         """Whether zone, service and link address are equal; incarnations are not compared."""
         location = (self.zone, self.service, self.link_address)
--- a/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
@@ -51,7 +51,11 @@
         local_node = self._links.hello.node
         nodes = [node for node in self._nodes_of_service(service) if node != local_node]
         for node in self._source.sample(nodes, min(LEDGER_PEER_COUNT, len(nodes))):
-            self._links.query_node(node, CRASH_LEDGER_TOPIC, [], self._merge_reply)
+            self.request_ledger(node)
+
+    def request_ledger(self, node: str) -> None:
+        """Request the ledger of a node."""
+        self._links.query_node(node, CRASH_LEDGER_TOPIC, [], self._merge_reply)
 
     def send_to_new_nodes(self, nodes: Iterable[str]) -> None:
         """Send the notices again to nodes that were not known to offer a service before."""
