--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -344,7 +344,7 @@
 
         Closing it while unread data arrives would reset it, and the caller could lose the response.
         """
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
         self._has_rejected = self._discarding_input = True
         self._set_expiry(REJECTION_LINGER_S, self.abort)
