--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -103,9 +103,15 @@
         if self._departure is not None and self._departure.covers(identity, now):
             return ReportResult.ALREADY_LEFT
         started = identity != self.identity
-        if not started and report.sequence <= self._sequence:
+        is_draining = self.state is LocalEndpointState.DRAINING
+        if (
+            not started
+            and report.sequence <= self._sequence
+            and (is_draining or not report.draining)
+        ):
+            # A drain that arrives late is not ignored, because it still holds.
             return ReportResult.OLD_SEQUENCE
-        if not started and self.state is LocalEndpointState.DRAINING:
+        if not started and is_draining:
             # A drain is final: it was acknowledged, and heartbeats that say otherwise may be late.
             self._sequence = report.sequence
             return ReportResult.APPLIED
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -42,6 +42,13 @@
         self.assertIs(self.apply(sequence=6), ReportResult.OLD_SEQUENCE)
         self.assertIs(self.record.state, LocalEndpointState.DRAINING)
 
+    def test_a_drain_that_arrives_late_is_confirmed_and_ignored(self) -> None:
+        """Requests reached the endpoint after the confirmation."""
+        self.assertIs(self.apply(sequence=4, draining=True), ReportResult.APPLIED)
+        self.assertFalse(self.record.is_ready)
+        self.assertIs(self.record.apply(replace(REPORT, sequence=6), 1.0), ReportResult.APPLIED)
+        self.assertFalse(self.record.is_ready)
+
     def test_a_drain_is_final_for_its_incarnation(self) -> None:
         """Requests would reach an endpoint after its drain was acknowledged."""
         self.apply(sequence=7, draining=True)
