--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -344,14 +344,9 @@
         limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
         linger_s = min(DRAIN_LINGER_S, limit_s * MAX_LINGER_FRACTION)
         self._entry.stop_accepting(linger_s, limit_s)
-        has_given_back = False
-        while monotonic() - started_at < limit_s:
-            if monotonic() - started_at > linger_s:
-                if not has_given_back:
-                    has_given_back = True
-                    self.serving.give_back_waiting()
-                if not self._has_unfinished_work():
-                    break
+        await asyncio.sleep(linger_s)
+        self.serving.give_back_waiting()
+        while monotonic() - started_at < limit_s and self._has_unfinished_work():
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         if self._entry.is_busy:
             log.warning("requests_interrupted", open=self._entry.open_request_count)
