Spread the checks of many nodes exponentially

Cause: the random delays were uniform, so that at 64 nodes six of them ended before the first check could suppress the others.

Change: the delays are distributed exponentially up to the same bound, and about 32 nodes have one below it (as feedback is suppressed in RFC 5740).

--- a/packages/pollenglade-core/src/pollenglade_core/policy/source_checks.py
+++ b/packages/pollenglade-core/src/pollenglade_core/policy/source_checks.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+from math import exp
 from math import inf
+from math import log
 
 from ..randomness import RandomSource
 
@@ -18,6 +20,9 @@
 """Upper bound in seconds of the random delay of a node's check after that, within which it learns
 of a check that another node has made."""
 
+CANDIDATES = 32
+"""Mean number of nodes with a delay below the bound; the others check if none of these does."""
+
 MAX_FAILURE_DELAY_S = 2.0
 """Upper bound in seconds of the delay after checks that failed; each request has a price."""
 
@@ -25,16 +30,23 @@
 class SourceChecks:
     """The latest successful check that this node knows of, and when it makes the next one itself.
 
-    All times are in seconds of one monotonic clock.
+    The delays of the nodes are distributed exponentially up to their bound (RFC 5740, section 5.3):
+    few nodes have a short one, however many there are, and the others learn of their checks in
+    time. All times are in seconds of one monotonic clock.
     """
 
     def __init__(self, random_source: RandomSource) -> None:
         self._random_source = random_source
+        self._nodes = 1
         self._checked_at = -inf
         self._delay_s = 0.0
         self._not_before = -inf
         self._failures = 0
 
+    def set_node_count(self, nodes: int) -> None:
+        """Set the number of nodes that make checks."""
+        self._nodes = max(1, nodes)
+
     def age_s(self, now: float) -> float:
         """Return the age of the latest check; infinite if none is known."""
         return now - self._checked_at
@@ -44,7 +56,15 @@
         if checked_at <= self._checked_at:
             return
         self._checked_at = checked_at
-        self._delay_s = MAX_CHECK_DELAY_S * self._random_source.random()
+        self._delay_s = self._draw_delay_s()
+
+    def _draw_delay_s(self) -> float:
+        random_source = self._random_source
+        if random_source.random() * self._nodes >= CANDIDATES:
+            return MAX_CHECK_DELAY_S
+        rate = 1.0 + log(min(self._nodes, CANDIDATES))
+        fraction = log(1.0 + random_source.random() * (exp(rate) - 1.0)) / rate
+        return MAX_CHECK_DELAY_S * fraction
 
     def on_success(self, began_at: float) -> None:
         """Record a successful check of this node."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -226,6 +226,7 @@
 
     def _on_members_changed(self) -> None:
         self._retry_budgets.set_node_count(len(self.peers.nodes))
+        self.source_checks.set_node_count(len(self.peers.nodes))
         if self._division_timer is None:
             loop = asyncio.get_running_loop()
             self._division_timer = loop.call_later(DIVISION_DELAY_S, self._divide_limits)
