Accept heads with thousands of fields on links

Callers saw 502 for a proper request with many short fields, and 503 for the next ones: the serving node took the message for malformed, closed the link with the requests of all other clients on it, and its endpoint was out of use until the link was open again. A response with as many fields did the same.

Cause: a link accepted arrays of 1,024 elements, which a head within 16,384 bytes exceeds with fields of 8 bytes.

Change: a head has at most 32,768 fields, a link accepts twice as many elements.

--- a/packages/pollenglade-net/src/pollenglade_net/http_head.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_head.py
@@ -19,6 +19,9 @@
 
 MAX_LENGTH_DIGITS = 20
 
+MAX_FIELDS = 32 * 1024
+"""Largest number of fields of one head; fields of two bytes reach a limit of 64 KiB on its size."""
+
 _TOKEN = rb"[-!#$%&'*+.^_`|~0-9a-zA-Z]++"
 _VALUE = rb"[^\x00\n\r\v\f]*+"
 _FIELDS = rb"((?:%b:%b\r?\n)*+)\r?\n" % (_TOKEN, _VALUE)
@@ -224,6 +227,8 @@
     """Split checked field lines, and summarise those that matter to the connection."""
     parts = [line.partition(b":") for line in block.split(b"\n")]
     parts.pop()
+    if len(parts) > MAX_FIELDS:
+        raise ProtocolError(f"a head has more than {MAX_FIELDS} fields; send fewer", 431)
     headers = [(name.lower(), value.strip()) for name, _, value in parts]
     value_by_name = dict(headers)
     if len(value_by_name) == len(headers) and _UNUSUAL_FIELDS.isdisjoint(value_by_name):
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -20,6 +20,7 @@
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
 
+from .http_head import MAX_FIELDS
 from .http_message import Headers
 from .http_message import HttpRequest
 
@@ -41,8 +42,12 @@
 By default msgpack allocates 1 MiB, all of which is touched in turn even by small messages.
 """
 
-MAX_CONTAINER_ITEMS = 1024
-"""Maximum number of elements of an array or entries of a map; a message with more is malformed."""
+MAX_CONTAINER_ITEMS = 2 * MAX_FIELDS
+"""Maximum number of elements of an array or entries of a map; a message with more is malformed.
+
+A peer closes the link on such a message, so the fields of a request or response must fit, also
+those that the nodes add.
+"""
 
 
 class Kind(IntEnum):
--- a/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
@@ -11,7 +11,6 @@
 from pollenglade_core.admission.quarantine import CrashLedger
 from pollenglade_core.admission.quarantine import CrashNotice
 from pollenglade_core.randomness import RandomSource
-from pollenglade_net.link_message import MAX_CONTAINER_ITEMS
 
 from ..membership.links import Links
 
@@ -24,8 +23,9 @@
 More than one, because a peer may have missed a notice itself.
 """
 
-MAX_LEDGER_NOTICES = MAX_CONTAINER_ITEMS
-"""Maximum number of notices in one message; the latest are sent. A peer closes the link on more."""
+MAX_LEDGER_NOTICES = 1024
+"""Maximum number of notices in one message; the latest are sent. Peers of an earlier release close
+the link on more."""
 
 
 class CrashNotices:
