Accept request bodies up to the limit of the manifest

Callers saw 413 for a proper body above 16 MiB, at each request, in calm; the manifests of all deployments permit 64 MiB (MaxBodyBytes).

Cause: a link carries no message above 16 MiB, so the entry node lowered the limit to that.

Change: a body above 128 KiB is sent over a link in parts, between which other messages such as pings are sent, and only as fast as the peer reads (version 2 of the link format; peers of version 1 get it whole, as before). A call whose body has not been sent whole has not run.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -31,6 +31,7 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
@@ -69,6 +70,7 @@
 
     def __init__(self, name: str) -> None:
         self.hello = Hello(name, 1, "zone-a")
+        self.body_budget = BodyBudget()
 
     def run_call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
         """Send the fixed response."""
--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -29,6 +29,9 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """A connection is not reused within this time of the idle timeout that its server announced."""
 
+MAX_COPIED_BODY_BYTES = 64 * 1024
+"""Size of a request body up to which it is copied, so that it is sent together with its head."""
+
 MAX_EARLIER_TAGS = 64
 """Number of earlier request tags that a connection remembers to detect late duplicate responses."""
 
@@ -171,12 +174,16 @@
                 sink.on_failure(HttpFailure(FailureReason.PROTOCOL, False, str(error)))
                 return
         first_line = b"%b %b HTTP/1.1\r\n" % (method.encode(), target)
-        data = encode_message_head(first_line, fields) + body
+        head = encode_message_head(first_line, fields)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(
             timeout_s, self._fail_response, FailureReason.TIMEOUT, "no response"
         )
-        self._transport.write(data)
+        if len(body) > MAX_COPIED_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(body)
+        else:
+            self._transport.write(head + body)
 
     def _process_events(self) -> None:
         """Process the bytes received so far; other callbacks run in between if they are many."""
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from .body_budget import BodyBudget
 from .disconnect_detector import DisconnectDetector
 from .exchange import Exchange
 from .http_head import ProtocolError
@@ -40,6 +41,9 @@
 REJECTION_LINGER_S = 1.0
 """Time for which the rest of a rejected request is read and discarded."""
 
+REJECTION_RETRY_AFTER_S = 1
+"""Delay in seconds after which a request for whose body there was no memory may be sent again."""
+
 EXPIRY_CHECK_INTERVAL_S = 0.5
 """Interval between checks for connections that have timed out."""
 
@@ -60,6 +64,7 @@
         self._disconnect_detector: DisconnectDetector | None = None
         self._request: RequestHead | None = None
         self._body = bytearray()
+        self._reserved_bytes = 0
         self._awaits_continue = False
         self._stays_open = False
         self._request_version = b"1.1"
@@ -102,6 +107,7 @@
         if self._continuation is not None:
             self._continuation.cancel()
         self._server.connections.discard(self)
+        self._release_body()
         self._cancel_exchange()
 
     def _cancel_exchange(self) -> None:
@@ -235,16 +241,36 @@
         self._set_expiry(None, self.close)
         self._request = head
         self._awaits_continue = head.expects_continue
+        # A body whose size is known is refused before it takes memory from others.
+        self._reserve_body(head.length)
 
     def _add_to_body(self, data: bytes) -> bool:
         self._awaits_continue = False
+        if not self._reserve_body(len(self._body) + len(data)):
+            return False
+        self._body += data
+        return True
+
+    def _reserve_body(self, size: int) -> bool:
+        """Reserve memory for a body of `size` bytes; reject the request if there is none."""
         limit = self._limits.body_bytes
-        if len(self._body) + len(data) > limit:
+        if size > limit:
             self.reject(413, f"the body is larger than {limit} bytes; send less")
             return False
-        self._body += data
+        missing_bytes = size - self._reserved_bytes
+        if missing_bytes <= 0:
+            return True
+        if not self._server.body_budget.try_reserve(missing_bytes):
+            self.reject(503, "no memory for the body; send it again later", "overloaded")
+            return False
+        self._reserved_bytes = size
         return True
 
+    def _release_body(self) -> None:
+        if self._reserved_bytes:
+            self._server.body_budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
+
     def _dispatch_request(self) -> None:
         head = self._request
         assert head is not None
@@ -313,6 +339,7 @@
     def _await_next_request(self) -> None:
         if self._transport is None:
             return
+        self._release_body()
         self._reader.start_next()
         has_data = self._reader.pending_bytes > 0
         if (self._received_eof or self._discarding_input) and not has_data:
@@ -326,16 +353,18 @@
             # A new iteration of the event loop bounds the stack depth for pipelined requests.
             asyncio.get_running_loop().call_soon(self._process_events)
 
-    def reject(self, status: int, detail: str) -> None:
-        """Respond to a malformed request with an error status and close the connection."""
-        body = orjson.dumps({"reason": "bad-request", "detail": detail})
+    def reject(self, status: int, detail: str, reason: str = "bad-request") -> None:
+        """Respond to a request that is not accepted and close the connection."""
+        body = orjson.dumps({"reason": reason, "detail": detail})
         headers = [
             (b"content-type", b"application/json"),
             (b"content-length", b"%d" % len(body)),
             (b"pollenglade-outcome", b"not-run"),
-            (b"pollenglade-reason", b"bad-request"),
+            (b"pollenglade-reason", reason.encode()),
             (b"connection", b"close"),
         ]
+        if status == 503:
+            headers.append((b"retry-after", b"%d" % REJECTION_RETRY_AFTER_S))
         self.write(encode_message_head(status_line(status), headers) + body)
         self._close_after_input()
 
@@ -364,9 +393,15 @@
 class HttpServer:
     """Listens on one address and passes requests to a handler."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        body_budget: BodyBudget | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits or ServerLimits()
+        self.body_budget = body_budget or BodyBudget()
         self.connections: set[ServerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -18,16 +18,24 @@
 
 from .attempt import Attempt
 from .attempt import AttemptSink
+from .body_budget import BodyBudget
 from .disconnect_detector import DisconnectDetector
 from .http_message import HttpRequest
 from .link_call import IncomingCall
 from .link_call import OutgoingCall
+from .link_call import PartialCall
+from .link_call import UnsentBody
+from .link_message import BODY_PART_BYTES
+from .link_message import BODY_PARTS_VERSION
 from .link_message import Feedback
 from .link_message import Hello
 from .link_message import Kind
 from .link_message import LinkError
 from .link_message import pack
+from .link_message import pack_refusal
 from .link_message import pack_request
+from .link_message import pack_request_body
+from .link_message import unpack_body_size
 from .link_message import unpack_feedback
 from .link_message import unpack_headers
 from .link_message import unpack_refusal
@@ -51,6 +59,10 @@
     def hello(self) -> Hello:
         """First message that this node sends on a link."""
 
+    @property
+    def body_budget(self) -> BodyBudget:
+        """Bound on the memory for request bodies that arrive in parts."""
+
     def run_call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
         """Run a call received from a peer; `sink` receives its result."""
 
@@ -90,6 +102,10 @@
         self._next_stream = 1
         self._outgoing_call_by_stream: dict[int, OutgoingCall] = {}
         self._incoming_call_by_stream: dict[int, IncomingCall] = {}
+        self._unsent_body_by_stream: dict[int, UnsentBody] = {}
+        self._partial_call_by_stream: dict[int, PartialCall] = {}
+        self._body_bytes_by_stream: dict[int, int] = {}
+        self._writing_paused = False
         self._reply_callback_by_stream: dict[int, Callable[[object], None]] = {}
         self._last_received_at = monotonic()
         self._pending_ping_at: float | None = None
@@ -150,6 +166,13 @@
             self.ready.exception()
         self._owner.on_link_closed(self)
 
+    def pause_writing(self) -> None:
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._writing_paused = False
+        self._queue_body_part()
+
     def data_received(self, data: bytes) -> None:
         self._last_received_at = monotonic()
         try:
@@ -178,7 +201,7 @@
             self.peer_draining = True
             self._owner.on_link_drain(self)
             return
-        if kind > Kind.ANSWER:
+        if kind > Kind.REQUEST_BODY:
             return
         if len(message) < 2 or not isinstance(message[1], int):
             raise LinkError(f"message of kind {kind} has no stream number")
@@ -204,7 +227,11 @@
             self._receive_body(stream, message)
         elif kind in (Kind.REFUSED, Kind.FAILED):
             self._receive_refusal(stream, message)
+        elif kind == Kind.REQUEST_BODY:
+            self._receive_request_body(stream, message)
         elif kind == Kind.CANCEL:
+            self._partial_call_by_stream.pop(stream, None)
+            self._release_body(stream)
             incoming_call = self._incoming_call_by_stream.pop(stream, None)
             if incoming_call is not None and incoming_call.attempt is not None:
                 incoming_call.attempt.cancel()
@@ -222,13 +249,39 @@
 
     def _receive_request(self, stream: int, message: Sequence[object]) -> None:
         context, request = unpack_request(message, monotonic())
-        if stream in self._incoming_call_by_stream:
+        if stream in self._incoming_call_by_stream or stream in self._partial_call_by_stream:
             raise LinkError(f"stream {stream} is already open")
         if stream in self._streams_cancelled_in_batch or (
             self._disconnect_detector is not None and self._disconnect_detector.has_disconnected
         ):
             # The request was read late, after it was cancelled or the peer disconnected.
             return
+        size = unpack_body_size(message)
+        if size:
+            self._receive_partial_call(stream, PartialCall(context, request, size))
+        else:
+            self._run_call(stream, context, request)
+
+    def _receive_partial_call(self, stream: int, call: PartialCall) -> None:
+        if not self._owner.body_budget.try_reserve(call.size):
+            refusal = Refusal(Reason.OVERLOADED, detail="no memory for the body of the request")
+            self.send(pack_refusal(Kind.REFUSED, stream, refusal, Feedback()))
+            return
+        self._body_bytes_by_stream[stream] = call.size
+        self._partial_call_by_stream[stream] = call
+
+    def _receive_request_body(self, stream: int, message: Sequence[object]) -> None:
+        call = self._partial_call_by_stream.get(stream)
+        if call is None:
+            # The call was refused or cancelled.
+            return
+        if len(message) < 3 or not isinstance(message[2], bytes):
+            raise LinkError("a part of a request body lacks its data")
+        if call.add_part(message[2]):
+            del self._partial_call_by_stream[stream]
+            self._run_call(stream, call.context, call.request)
+
+    def _run_call(self, stream: int, context: CallContext, request: HttpRequest) -> None:
         incoming_call = IncomingCall(self, stream)
         self._incoming_call_by_stream[stream] = incoming_call
         attempt = self._owner.run_call(context, request, incoming_call)
@@ -264,6 +317,7 @@
 
     def _receive_refusal(self, stream: int, message: Sequence[object]) -> None:
         refusal, feedback = unpack_refusal(message)
+        self._unsent_body_by_stream.pop(stream, None)
         call = self._outgoing_call_by_stream.pop(stream, None)
         if call is None:
             return
@@ -297,10 +351,28 @@
         stream = self._allocate_stream()
         call = OutgoingCall(self, stream, sink)
         self._outgoing_call_by_stream[stream] = call
-        self.send(pack_request(stream, context, request, monotonic()))
+        sends_parts = len(request.body) > BODY_PART_BYTES and self._accepts_body_parts
+        self.send(pack_request(stream, context, request, monotonic(), sends_parts))
+        if sends_parts:
+            # The first part follows with the next flush, after the request.
+            self._unsent_body_by_stream[stream] = UnsentBody(request.body)
         call.send_position = (self._flush_count, len(self._pending_messages) - 1)
         return call
 
+    @property
+    def _accepts_body_parts(self) -> bool:
+        return self.peer is not None and self.peer.highest_version >= BODY_PARTS_VERSION
+
+    def _queue_body_part(self) -> None:
+        """Queue a part of the body that has waited longest, unless the peer reads too slowly."""
+        if not self._unsent_body_by_stream or self._writing_paused:
+            return
+        stream = next(iter(self._unsent_body_by_stream))
+        body = self._unsent_body_by_stream.pop(stream)
+        self.send(pack_request_body(stream, body.take_part()))
+        if not body.is_sent:
+            self._unsent_body_by_stream[stream] = body
+
     def query(self, topic: str, payload: object, callback: Callable[[object], None]) -> None:
         """Send a query; `callback` gets the reply, or None if the link closes first."""
         if not self.is_open:
@@ -326,23 +398,35 @@
         self.send(pack([Kind.CANCEL, stream]))
 
     def withdraw_call(self, stream: int) -> bool:
-        """Remove a call that is still queued, so that the peer never receives it.
+        """Remove a call that is still queued, so that the peer never runs it.
 
-        Returns False and does nothing if its message has been written or the call has ended.
+        Returns False if its whole message has been written or the call has ended.
         """
         call = self._outgoing_call_by_stream.get(stream)
         if call is None:
             return False
+        unsent_body = self._unsent_body_by_stream.pop(stream, None)
         flush_count, index = call.send_position
-        if flush_count != self._flush_count:
+        if flush_count == self._flush_count:
+            del self._outgoing_call_by_stream[stream]
+            self._pending_messages[index] = b""
+            return True
+        if unsent_body is None:
             return False
+        # The peer runs a call only with its whole body.
         del self._outgoing_call_by_stream[stream]
-        self._pending_messages[index] = b""
+        self.send(pack([Kind.CANCEL, stream]))
         return True
 
     def end_incoming_call(self, stream: int) -> None:
         """Remove a call from the peer whose final message is being sent."""
         self._incoming_call_by_stream.pop(stream, None)
+        self._release_body(stream)
+
+    def _release_body(self, stream: int) -> None:
+        size = self._body_bytes_by_stream.pop(stream, 0)
+        if size:
+            self._owner.body_budget.release(size)
 
     def send_drain(self) -> None:
         """Notify the peer that this node is draining and accepts no further calls."""
@@ -360,6 +444,7 @@
         data = pending_messages[0] if len(pending_messages) == 1 else b"".join(pending_messages)
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+        self._queue_body_part()
 
     def check_liveness(self, now: float) -> bool:
         """Ping the peer if it owes results or replies and has sent nothing for `PING_AFTER_IDLE_S`.
@@ -399,13 +484,20 @@
         outgoing_calls, self._outgoing_call_by_stream = self._outgoing_call_by_stream, {}
         incoming_calls, self._incoming_call_by_stream = self._incoming_call_by_stream, {}
         reply_callbacks, self._reply_callback_by_stream = self._reply_callback_by_stream, {}
+        unsent_bodies, self._unsent_body_by_stream = self._unsent_body_by_stream, {}
+        self._partial_call_by_stream.clear()
+        for stream in list(self._body_bytes_by_stream):
+            self._release_body(stream)
         refusal = Refusal(Reason.LINK_FAILED, Outcome.UNKNOWN, None, reason)
-        for call in outgoing_calls.values():
+        unsent = Refusal(Reason.LINK_FAILED, Outcome.NOT_RUN, None, reason)
+        for stream, call in outgoing_calls.items():
             flush_count, index = call.send_position
             if flush_count == self._flush_count:
                 # None of its bytes have been written, and they must not be written by the close.
                 self._pending_messages[index] = b""
-                unsent = Refusal(Reason.LINK_FAILED, Outcome.NOT_RUN, None, reason)
+                call.sink.on_refusal(unsent, Feedback())
+            elif stream in unsent_bodies:
+                # The peer runs a call only with its whole body.
                 call.sink.on_refusal(unsent, Feedback())
             elif call.started:
                 call.sink.on_failure(refusal, Feedback())
--- a/packages/pollenglade-net/src/pollenglade_net/link_call.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_call.py
@@ -4,13 +4,17 @@
 
 from typing import Protocol
 
+from pollenglade_core.calls.call import CallContext
 from pollenglade_core.calls.outcome import Refusal
 
 from .attempt import Attempt
 from .attempt import AttemptSink
 from .http_message import Headers
+from .http_message import HttpRequest
+from .link_message import BODY_PART_BYTES
 from .link_message import Feedback
 from .link_message import Kind
+from .link_message import LinkError
 from .link_message import pack
 from .link_message import pack_body
 from .link_message import pack_refusal
@@ -58,6 +62,52 @@
         self._link.send(pack([Kind.WINDOW, self._stream, credit_bytes]))
 
 
+class UnsentBody:
+    """The part of a request body that has still to be sent to the peer."""
+
+    __slots__ = ("_data", "_position")
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._position = 0
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the whole body has been taken."""
+        return self._position >= len(self._data)
+
+    def take_part(self) -> bytes:
+        """Return the next part."""
+        start = self._position
+        self._position = start + BODY_PART_BYTES
+        return self._data[start : self._position]
+
+
+class PartialCall:
+    """A call from the peer of which a part of the body is missing; `size` is that of the body."""
+
+    __slots__ = ("_missing_bytes", "_parts", "context", "request", "size")
+
+    def __init__(self, context: CallContext, request: HttpRequest, size: int) -> None:
+        self.context = context
+        self.request = request
+        self.size = size
+        self._missing_bytes = size
+        self._parts: list[bytes] = []
+
+    def add_part(self, data: bytes) -> bool:
+        """Add a part and return whether the request is complete; raise LinkError if too large."""
+        self._missing_bytes -= len(data)
+        if self._missing_bytes < 0:
+            raise LinkError("the parts of a request body exceed its size")
+        self._parts.append(data)
+        if self._missing_bytes:
+            return False
+        self.request.body = b"".join(self._parts)
+        self._parts.clear()
+        return True
+
+
 class IncomingCall:
     """A call received from the peer; sends the result back over the link."""
 
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -25,10 +25,19 @@
 from .http_message import HttpRequest
 
 LOWEST_VERSION = 1
-HIGHEST_VERSION = 1
+HIGHEST_VERSION = 2
+
+BODY_PARTS_VERSION = 2
+"""Lowest version of the format in which a large request body is sent in parts."""
+
+BODY_PART_BYTES = 128 * 1024
+"""Size of the parts of a request body, and of the largest body that is sent with the request.
+
+Other messages, such as pings, are sent between the parts.
+"""
 
 MAX_LINK_BODY_BYTES = 16 * 1024 * 1024
-"""Maximum request body on a link; equals the largest request that an entry node buffers."""
+"""Maximum size of a body, or of a part of one, in one message."""
 
 MAX_MESSAGE_BYTES = MAX_LINK_BODY_BYTES + 64 * 1024
 """Maximum size of a message: the largest body, and 64 KiB for the other fields."""
@@ -66,6 +75,7 @@
     FAILED = 10
     ASK = 11
     ANSWER = 12
+    REQUEST_BODY = 13
 
 
 class LinkError(Exception):
@@ -169,8 +179,17 @@
     )
 
 
-def pack_request(stream: int, context: CallContext, request: HttpRequest, now: float) -> bytes:
-    """Encode a call; deadline and objective are sent as milliseconds remaining after `now`."""
+def pack_request(
+    stream: int,
+    context: CallContext,
+    request: HttpRequest,
+    now: float,
+    sends_parts: bool = False,
+) -> bytes:
+    """Encode a call; deadline and objective are sent as milliseconds remaining after `now`.
+
+    If the body is sent in parts, the message has its size in place of it.
+    """
     wire_context = [
         context.call_id,
         context.organisation,
@@ -197,11 +216,24 @@
             request.method,
             request.target,
             request.headers,
-            request.body,
+            *((b"", len(request.body)) if sends_parts else (request.body,)),
         ]
     )
 
 
+def pack_request_body(stream: int, data: bytes) -> bytes:
+    """Encode a part of the body of a call."""
+    return pack([Kind.REQUEST_BODY, stream, data])
+
+
+def unpack_body_size(message: Sequence[object]) -> int:
+    """Return the size of the body that follows a call in parts; 0 if the call is complete."""
+    size = message[7] if len(message) > 7 else 0
+    if not isinstance(size, int) or size < 0:
+        raise LinkError("the size of a request body is not a whole number")
+    return size
+
+
 def unpack_request(message: Sequence[object], now: float) -> tuple[CallContext, HttpRequest]:
     """Decode a call; raise LinkError if a field is missing or has the wrong type."""
     _, wire, method, target, headers, body = _checked_fields(
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -21,12 +21,15 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link import PING_AFTER_IDLE_S
 from pollenglade_net.link import PONG_TIMEOUT_S
 from pollenglade_net.link import Link
+from pollenglade_net.link_message import BODY_PART_BYTES
 from pollenglade_net.link_message import HIGHEST_VERSION
+from pollenglade_net.link_message import MAX_LINK_BODY_BYTES
 from pollenglade_net.link_message import MAX_MESSAGE_BYTES
 from pollenglade_net.link_message import READ_AHEAD_BYTES
 from pollenglade_net.link_message import Feedback
@@ -99,6 +102,7 @@
     links: list[Link] = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
+    body_budget: BodyBudget = field(default_factory=BodyBudget)
 
     @property
     def hello(self) -> Hello:
@@ -228,6 +232,65 @@
                 self.assertEqual([Outcome.UNKNOWN, Outcome.NOT_RUN], outcomes)
                 self.assertEqual([b"sent"], [call.body for call in self.link_pair.server.calls])
 
+    async def test_bodies_above_the_limit_of_a_message_close_the_link(self) -> None:
+        """Bodies in parts arrive whole, also if several are sent at the same time."""
+        link = await self.link_pair.connect()
+        bodies = {b"a": MAX_LINK_BODY_BYTES + 1, b"b": 3 * BODY_PART_BYTES, b"c": 1}
+        for letter, size in bodies.items():
+            link.call(context(ord(letter)), request(letter * size), CollectingSink())
+        await self.link_pair.wait_calls(3)
+        calls = self.link_pair.server.calls
+        self.assertEqual(bodies, {call.body[:1]: len(call.body) for call in calls})
+        for call in calls:
+            call.sink.on_response(200, [], b"", Feedback())
+        self.assertEqual(0, self.link_pair.server.body_budget.reserved_bytes)
+
+    async def test_call_whose_body_was_not_sent_whole_may_have_run(self) -> None:
+        """A call is withdrawn, or not run at a close, until the last part of its body is sent."""
+        for ends_by_close in (False, True):
+            with self.subTest(ends_by_close=ends_by_close):
+                link = await self.link_pair.connect()
+                budget = self.link_pair.server.body_budget
+                sink = CollectingSink()
+                attempt = link.call(context(1), request(b"a" * 64 * BODY_PART_BYTES), sink)
+                async with asyncio.timeout(WAIT_TIMEOUT_S):
+                    while not budget.reserved_bytes:
+                        await asyncio.sleep(0)
+                if ends_by_close:
+                    link.close("the link is silent", abort=True)
+                    refusal = await sink.result
+                    assert isinstance(refusal, Refusal)
+                    self.assertIs(Outcome.NOT_RUN, refusal.outcome)
+                else:
+                    self.assertTrue(attempt.withdraw())
+                async with asyncio.timeout(WAIT_TIMEOUT_S):
+                    while budget.reserved_bytes:
+                        await asyncio.sleep(0.01)
+                self.assertEqual([], self.link_pair.server.calls)
+
+    async def test_bodies_take_more_memory_than_the_node_has(self) -> None:
+        """A body beyond the budget is refused as not run, and the link stays open."""
+        link = await self.link_pair.connect()
+        self.link_pair.server.body_budget.limit_bytes = 2 * BODY_PART_BYTES
+        sink, later_sink = CollectingSink(), CollectingSink()
+        link.call(context(1), request(b"a" * 3 * BODY_PART_BYTES), sink)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            refusal = await sink.result
+        assert isinstance(refusal, Refusal)
+        self.assertIs(Outcome.NOT_RUN, refusal.outcome)
+        link.call(context(2), request(b"b" * 2 * BODY_PART_BYTES), later_sink)
+        await self.link_pair.wait_calls(1)
+        self.assertEqual([b"b"], [call.body[:1] for call in self.link_pair.server.calls])
+
+    async def test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts(self) -> None:
+        """A peer that ignores parts would run the call without its body."""
+        self.link_pair.server.lowest_version = self.link_pair.server.highest_version = 1
+        self.link_pair.client.lowest_version = 1
+        link = await self.link_pair.connect()
+        link.call(context(1), request(b"a" * 3 * BODY_PART_BYTES), CollectingSink())
+        await self.link_pair.wait_calls(1)
+        self.assertEqual(3 * BODY_PART_BYTES, len(self.link_pair.server.calls[0].body))
+
     async def test_call_that_is_read_together_with_its_cancellation_starts(self) -> None:
         """A peer that was stalled reads calls together with their cancellations."""
         await self.link_pair.connect()
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -19,6 +19,7 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link import PING_AFTER_IDLE_S
 from pollenglade_net.link import Link
@@ -100,8 +101,15 @@
     previous one.
     """
 
-    def __init__(self, hello: Hello, serving: CallRunner, source_host: str | None = None) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        serving: CallRunner,
+        source_host: str | None = None,
+        body_budget: BodyBudget | None = None,
+    ) -> None:
         self._hello = hello
+        self.body_budget = body_budget or BodyBudget()
         self._serving = serving
         self._source_address = (source_host, 0) if source_host else None
         self._loop = asyncio.get_running_loop()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -16,9 +16,9 @@
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
 from pollenglade_core.policy.source_checks import SourceChecks
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
+from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.link_message import MAX_LINK_BODY_BYTES
 from pollenglade_net.link_message import Hello
 from pollenglade_net.server_limits import ServerLimits
 
@@ -101,7 +101,9 @@
             random_source,
             self.request_log,
         )
-        self._links = Links(Hello(settings.node, incarnation, settings.zone), self.serving)
+        hello = Hello(settings.node, incarnation, settings.zone)
+        body_budget = BodyBudget(settings.body_budget_bytes)
+        self._links = Links(hello, self.serving, body_budget=body_budget)
         self.view = PeerView(settings.zone, random_source, settings.region_by_zone)
         self.view.add(settings.node, settings.zone, settings.service)
         self._local_peer = self.view.peer_by_node[settings.node]
@@ -146,7 +148,7 @@
         self._catch_up = CatchUp(self.peers, self._links, self._crash_notices, self.evacuation)
         self.departures = DepartureExchange(self.view, self._links, self.serving)
         self._limits = ServerLimits(cancel_on_eof=True)
-        self._server = HttpServer(self._handle, self._limits)
+        self._server = HttpServer(self._handle, self._limits, body_budget)
         self._tasks: set[asyncio.Task[None]] = set()
         self._division_timer: asyncio.TimerHandle | None = None
         self._register_callbacks()
@@ -206,7 +208,7 @@
         self._entry.policy = policy
         limits = policy.limits
         self._limits.head_bytes = limits.head_bytes
-        self._limits.body_bytes = min(limits.body_bytes, MAX_LINK_BODY_BYTES)
+        self._limits.body_bytes = limits.body_bytes
         self._limits.head_timeout_s = limits.head_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
         self._token_broker.apply(policy.organisations_by_name.values(), self.peers.nodes)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_settings.py
@@ -9,6 +9,7 @@
 from pollenglade_core.allowance.token_share import AllowanceBounds
 from pollenglade_core.dispatch.retry_budget import RetryBounds
 from pollenglade_net.address import Address
+from pollenglade_net.body_budget import DEFAULT_BODY_BUDGET_BYTES
 
 STOP_LIMIT_S = 6.0
 """Default time in seconds from SIGTERM to SIGKILL."""
@@ -21,7 +22,8 @@
     `first_start` is True at the first start of the whole system. `stop_limit_s` is the time in
     seconds after SIGTERM by which the process must have exited. `allowance` bounds the requests
     that the token limits of organisations admit over all nodes; it is not the retry allowance of a
-    call. `retries` bounds the retries over all nodes. `region_by_zone` names the region of each
+    call. `retries` bounds the retries over all nodes. `body_budget_bytes` bounds the memory that
+    the bodies of requests take in the process. `region_by_zone` names the region of each
     availability zone; endpoints in other zones are in no region.
     """
 
@@ -36,3 +38,4 @@
     allowance: AllowanceBounds = field(default_factory=AllowanceBounds)
     retries: RetryBounds = field(default_factory=RetryBounds)
     region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    body_budget_bytes: int = DEFAULT_BODY_BUDGET_BYTES
