Free the body of a request when the request ends

A trial with 8 bodies of 64 MiB at four nodes on their way at once took up to 362 MB in one process; the processes may use 300 MB. Cause: calls are in reference cycles, so their bodies stayed until the next garbage collection.

Change: a call that ended drops its request, and the body is held by the forwarded request only. The same trial takes up to 235 MB, one body at a time 170 MB. 100 passed, 0 failed in the modules of the mesh, links and HTTP.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -33,6 +33,9 @@
 """Responses up to this size are buffered until complete, so that the request can be retried if the
 response is not."""
 
+ENDED_REQUEST = HttpRequest("", b"", [])
+"""Replaces a request that has ended, whose body would take memory until a garbage collection."""
+
 DEADLINE_GRACE_S = 0.3
 """Time in seconds past the deadline in which the endpoint can still respond itself; a response
 keeps the connection reusable."""
@@ -324,6 +327,7 @@
         return True
 
     def _end(self, completed: bool) -> Feedback:
+        self._request = ENDED_REQUEST
         started_at = self._started_at
         target_s = 0.0 if started_at is None else monotonic() - started_at
         usage = self._nested_usage
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -215,6 +215,7 @@
         now: float,
     ) -> MeshCall:
         request = exchange.request
+        fingerprint = self._fingerprint(request)
         deadline_value = (request.header(self._names.deadline_ms) or b"").strip()
         time_limit_s = route.timeout_s
         if deadline_value.isdigit():
@@ -248,7 +249,7 @@
             rank,
             now + time_limit_s,
             objective_at,
-            self._fingerprint(request),
+            fingerprint,
             parent,
             nested,
         )
@@ -263,7 +264,9 @@
         headers.append((self._names.caller_service, self._caller_service))
         if organisation is not None:
             headers.append((self._names.organisation, organisation.name.encode()))
-        return HttpRequest(request.method, request.target, headers, request.body)
+        # The forwarded request alone holds the body, which may take much memory.
+        body, request.body = request.body, b""
+        return HttpRequest(request.method, request.target, headers, body)
 
     def _fingerprint(self, request: HttpRequest) -> str:
         digest = blake2b(request.method.encode(), digest_size=12)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -26,6 +26,7 @@
 from pollenglade_net.link_message import Feedback
 
 from .attempt_result_sink import AttemptResultSink
+from .endpoint_call import ENDED_REQUEST
 from .endpoint_call import EndpointCall
 from .request_result import SERVED
 from .request_result import RequestResult
@@ -431,6 +432,7 @@
 
     def _mark_done(self) -> None:
         self.is_done = True
+        self._request = ENDED_REQUEST
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
