Read on after the last response of a connection until the caller closes it

In a planned stop, and wherever a connection ends with a response, callers that had sent a further request lost the unread end of that response: a close while unread input arrives resets the connection, and the operating system drops what it has not sent yet. Clients on kept connections do that whenever they pipeline requests or send the next one before they have read `Connection: close`.

Change: after the last response the sending side is closed, further input is read and discarded, and the connection is closed when the caller has closed its side, 5 s later at most. Rejected requests were treated like this before, for 1 s. A stopping process waits for such callers like for unsent output, within its grace.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -41,6 +41,10 @@
 REJECTION_LINGER_S = 1.0
 """Time for which the rest of a rejected request is read and discarded."""
 
+RESPONSE_LINGER_S = 5.0
+"""Time after the last response on a connection in which the caller closes it; further input is read
+and discarded until then."""
+
 REJECTION_RETRY_AFTER_S = 1
 """Delay in seconds after which a request for whose body there was no memory may be sent again."""
 
@@ -74,7 +78,7 @@
         self._pause_timer: asyncio.TimerHandle | None = None
         self._continuation: asyncio.Handle | None = None
         self._discarding_input = False
-        self._has_rejected = False
+        self._is_ending = False
         self._idle_since: float | None = None
         self.writing_paused = False
 
@@ -85,8 +89,10 @@
 
     @property
     def has_unsent_output(self) -> bool:
-        """Whether a part of a response has not been passed to the operating system yet."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        """Whether the caller may have still to read a part of a response."""
+        if self._transport is None:
+            return False
+        return self._is_ending or self._transport.get_write_buffer_size() > 0
 
     @property
     def _is_open(self) -> bool:
@@ -208,7 +214,7 @@
 
     def _process_event(self) -> bool:
         """Process one event; return whether there may be another one."""
-        if self._exchange is not None or not self._is_open or self._has_rejected:
+        if self._exchange is not None or not self._is_open or self._is_ending:
             return False
         self._reader.limit_fields(self._limits.head_bytes)
         try:
@@ -229,7 +235,7 @@
 
     def _await_request_data(self) -> None:
         if self._discarding_input or self._received_eof:
-            self.close()
+            self._close_after_response()
         elif self._awaits_continue:
             self._awaits_continue = False
             self.write(CONTINUE_HEAD)
@@ -323,7 +329,7 @@
         self.write(encode_message_head(status_line(status), fields) + body)
         self._exchange = None
         if close_after_response:
-            self.close()
+            self._close_after_response()
             return
         self._await_next_request()
 
@@ -332,7 +338,7 @@
         self._exchange = None
         response, self._streamed_response = self._streamed_response, None
         if response is None or not response.stays_open:
-            self.close()
+            self._close_after_response()
             return
         self._await_next_request()
 
@@ -343,7 +349,7 @@
         self._reader.start_next()
         has_data = self._reader.pending_bytes > 0
         if (self._received_eof or self._discarding_input) and not has_data:
-            self.close()
+            self._close_after_response()
             return
         self._stop_pause_timer()
         if not self._received_eof:
@@ -366,17 +372,25 @@
         if status == 503:
             headers.append((b"retry-after", b"%d" % REJECTION_RETRY_AFTER_S))
         self.write(encode_message_head(status_line(status), headers) + body)
-        self._close_after_input()
+        self._discard_until_close(REJECTION_LINGER_S, self.abort)
 
-    def _close_after_input(self) -> None:
+    def _close_after_response(self) -> None:
+        if self._received_eof:
+            self.close()
+        else:
+            self._discard_until_close(RESPONSE_LINGER_S, self.close)
+
+    def _discard_until_close(self, limit_s: float, on_expiry: Callable[[], None]) -> None:
         """Close the sending side, and the connection once the caller has read the response.
 
         Closing it while unread data arrives would reset it, and the caller could lose the response.
         """
         if self._transport is None or self._transport.is_closing():
             return
-        self._has_rejected = self._discarding_input = True
-        self._set_expiry(REJECTION_LINGER_S, self.abort)
+        self._is_ending = self._discarding_input = True
+        self._stop_pause_timer()
+        self._set_expiry(limit_s, on_expiry)
+        self._transport.resume_reading()
         self._transport.write_eof()
 
     def close(self) -> None:
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -158,6 +158,32 @@
         self.assertIn(b"connection: close", received)
         self.assertEqual(([b"/0"], []), (targets, loop_errors))
 
+    async def test_request_behind_the_last_response_cuts_that_response_off(self) -> None:
+        """A connection closed while further requests arrive is reset, and unread output is lost."""
+        body = b"a" * 1024 * 1024
+
+        async def respond(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, [], body)
+
+        server = HttpServer(async_handler(respond))
+        self.addAsyncCleanup(server.close)
+        port = await server.start("127.0.0.1", 0)
+        server.drain()
+        loop = asyncio.get_running_loop()
+        for _ in range(3):
+            with socket.socket() as client:
+                client.setblocking(False)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+                await loop.sock_connect(client, ("127.0.0.1", port))
+                received = b""
+                for _ in range(2):
+                    await loop.sock_sendall(client, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                    await asyncio.sleep(0.05)
+                async with asyncio.timeout(5.0):
+                    while data := await loop.sock_recv(client, 64 * 1024):
+                        received += data
+            self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
