Bound the time and memory of request bodies that stop to arrive

A body was waited for without a bound while its connection stayed open. Since bodies share a limited memory, callers that stall would have kept others from sending large ones.

Change: a body of which nothing arrives for the idle timeout is answered 408, as not run. Memory is reserved as a body arrives, and small bodies, up to 128 KiB, are never refused for it. A serving node drops a call whose body is not complete at its deadline.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -45,6 +45,9 @@
 """Time after the last response on a connection in which the caller closes it; further input is read
 and discarded until then."""
 
+UNCOUNTED_BODY_BYTES = 128 * 1024
+"""Size of a body up to which it is accepted however much memory other bodies take."""
+
 REJECTION_RETRY_AFTER_S = 1
 """Delay in seconds after which a request for whose body there was no memory may be sent again."""
 
@@ -136,6 +139,8 @@
         if self._exchange is None:
             if self._request is None:
                 self._set_expiry(self._limits.head_timeout_s, self._on_head_timeout)
+            else:
+                self._set_expiry(self._limits.idle_timeout_s, self._on_body_timeout)
             self._process_events()
         elif self._transport and self._reader.pending_bytes > MAX_PIPELINED_BYTES:
             self._transport.pause_reading()
@@ -182,6 +187,10 @@
         if self.is_idle:
             self.reject(408, "the head of the request took too long")
 
+    def _on_body_timeout(self) -> None:
+        if self._request is not None:
+            self.reject(408, "the body of the request stopped to arrive")
+
     def eof_received(self) -> bool:
         self._received_eof = True
         if self._limits.cancel_on_eof and self._exchange is not None:
@@ -245,29 +254,33 @@
 
     def _begin_request(self, head: RequestHead) -> None:
         self._set_expiry(None, self.close)
+        if not self._reader.is_message_complete:
+            self._set_expiry(self._limits.idle_timeout_s, self._on_body_timeout)
         self._request = head
         self._awaits_continue = head.expects_continue
-        # A body whose size is known is refused before it takes memory from others.
-        self._reserve_body(head.length)
+        self._check_body_size(head.length)
+
+    def _check_body_size(self, size: int) -> bool:
+        """Reject the request if its body is too large; return whether it is not."""
+        limit = self._limits.body_bytes
+        if size > limit:
+            self.reject(413, f"the body is larger than {limit} bytes; send less")
+            return False
+        return True
 
     def _add_to_body(self, data: bytes) -> bool:
         self._awaits_continue = False
-        if not self._reserve_body(len(self._body) + len(data)):
+        size = len(self._body) + len(data)
+        if not self._check_body_size(size):
+            return False
+        if size > UNCOUNTED_BODY_BYTES and not self._reserve_body(size):
+            self.reject(503, "no memory for the body; send it again later", "overloaded")
             return False
         self._body += data
         return True
 
     def _reserve_body(self, size: int) -> bool:
-        """Reserve memory for a body of `size` bytes; reject the request if there is none."""
-        limit = self._limits.body_bytes
-        if size > limit:
-            self.reject(413, f"the body is larger than {limit} bytes; send less")
-            return False
-        missing_bytes = size - self._reserved_bytes
-        if missing_bytes <= 0:
-            return True
-        if not self._server.body_budget.try_reserve(missing_bytes):
-            self.reject(503, "no memory for the body; send it again later", "overloaded")
+        if not self._server.body_budget.try_reserve(size - self._reserved_bytes):
             return False
         self._reserved_bytes = size
         return True
@@ -282,6 +295,7 @@
         assert head is not None
         body = bytes(self._body)
         self._request = None
+        self._set_expiry(None, self.close)
         if body:
             self._body = bytearray()
         self._stays_open = head.stays_open
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -449,9 +449,13 @@
     def check_liveness(self, now: float) -> bool:
         """Ping the peer if it owes results or replies and has sent nothing for `PING_AFTER_IDLE_S`.
 
+        Calls of which a part of the body is missing at their deadline are dropped.
+
         `now` is in monotonic time. Return True if the link was closed because nothing was received
         within `PONG_TIMEOUT_S` after an earlier ping.
         """
+        if self._partial_call_by_stream:
+            self._drop_expired_partial_calls(now)
         if self._pending_ping_at is not None:
             if not self.is_ping_unanswered:
                 self._pending_ping_at = None
@@ -465,6 +469,12 @@
             self.send(pack([Kind.PING, 0]))
         return False
 
+    def _drop_expired_partial_calls(self, now: float) -> None:
+        for stream, call in list(self._partial_call_by_stream.items()):
+            if now > call.context.deadline:
+                del self._partial_call_by_stream[stream]
+                self._release_body(stream)
+
     def close(self, reason: str, abort: bool = False) -> None:
         """Close the link; open calls end with `reason` as detail.
 
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -13,6 +13,7 @@
 
 from pollenglade_net.address import Address
 from pollenglade_net.async_handler import async_handler
+from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.client_connection import LINGER_RESET_ON_CLOSE
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.connection_pool import ConnectionPool
@@ -25,6 +26,7 @@
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.http_server import HttpServer
+from pollenglade_net.server_limits import ServerLimits
 
 READ_TIMEOUT_S = 5.0
 
@@ -184,6 +186,33 @@
                         received += data
             self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
 
+    async def test_a_body_that_stops_to_arrive_takes_memory_from_others(self) -> None:
+        """The memory for bodies is limited; a caller that sends no more must not keep its part."""
+        limits = ServerLimits(idle_timeout_s=0.3)
+        server = HttpServer(async_handler(echo), limits, BodyBudget(400_000))
+        self.addAsyncCleanup(server.close)
+        address = Address("127.0.0.1", await server.start("127.0.0.1", 0))
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        stopped_reader, stopped_writer = await asyncio.open_connection("127.0.0.1", address.port)
+        stopped_writer.write(head % 350_000 + b"a" * 300_000)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while server.body_budget.reserved_bytes < 300_000:
+                await asyncio.sleep(0.01)
+        client = HttpClient()
+        self.addAsyncCleanup(client.close)
+        statuses = []
+        for size in (200_000, 1_000):
+            response = await client.request(address, "POST", "/", body=b"b" * size)
+            assert isinstance(response, HttpResponse)
+            statuses.append(response.status)
+        self.assertEqual([503, 200], statuses)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            self.assertIn(b" 408 ", await stopped_reader.read())
+        stopped_writer.close()
+        response = await client.request(address, "POST", "/", body=b"b" * 200_000)
+        assert isinstance(response, HttpResponse)
+        self.assertEqual(200, response.status)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -282,6 +282,17 @@
         await self.link_pair.wait_calls(1)
         self.assertEqual([b"b"], [call.body[:1] for call in self.link_pair.server.calls])
 
+    async def test_a_body_without_its_end_takes_memory_after_the_deadline(self) -> None:
+        """A calling node that is paused sends neither the rest of a body nor a cancellation."""
+        await self.link_pair.connect()
+        (link,) = self.link_pair.server.links
+        size = 2 * BODY_PART_BYTES
+        now = monotonic()
+        link.data_received(pack_request(7, context(1), request(b"a" * size), now, True))
+        self.assertEqual(size, self.link_pair.server.body_budget.reserved_bytes)
+        link.check_liveness(now + 60.0)
+        self.assertEqual(0, self.link_pair.server.body_budget.reserved_bytes)
+
     async def test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts(self) -> None:
         """A peer that ignores parts would run the call without its body."""
         self.link_pair.server.lowest_version = self.link_pair.server.highest_version = 1
