Keep the quarantine of requests that crash endpoints in the store

If all nodes were killed at the same moment, no node remembered which requests had crashed endpoints, and each of them crashed further ones.

Change: the node of an endpoint writes a row for each fingerprint that is still refused 2 s after a crash, by when harmless requests that were in flight have completed.

--- a/packages/pollenglade-core/src/pollenglade_core/admission/quarantine.py
+++ b/packages/pollenglade-core/src/pollenglade_core/admission/quarantine.py
@@ -156,6 +156,18 @@
                 cleared += self._clear(notice.fingerprint, record, now)
         return cleared
 
+    def quarantine_notices(self, fingerprint: str, now: float) -> list[CrashNotice]:
+        """Return the notices for which a fingerprint is refused; none if it is not."""
+        record = self._record(fingerprint, now)
+        if record is None or record.count < CRASH_LIMIT:
+            return []
+        age_s = record.age_s(now)
+        return [
+            CrashNotice(crash_id, fingerprint, age_s)
+            for crash_id, cleared in record.cleared_by_crash.items()
+            if not cleared
+        ]
+
     def notices(self, now: float) -> list[CrashNotice]:
         """Return notices of all crashes on record, for gossip; remove expired records."""
         self._record_by_fingerprint = {
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from math import inf
 from time import monotonic
 
@@ -68,6 +69,10 @@
 With hundreds of nodes and organisations one division takes some 30 ms.
 """
 
+CLEARANCE_S = 2.0
+"""Time in seconds after a crash in which requests that were in flight elsewhere complete and are
+cleared of it."""
+
 DRAIN_POLL_INTERVAL_S = 0.05
 """Time in seconds between checks for running work during the drain."""
 
@@ -75,7 +80,10 @@
 
 
 class MeshNode:
-    """One node of the mesh; call `start`, then `stop_gracefully`, then `close`."""
+    """One node of the mesh; call `start`, then `stop_gracefully`, then `close`.
+
+    `on_quarantined` is called with the crashes for which a fingerprint is refused from now on.
+    """
 
     def __init__(self, settings: MeshSettings, names: HeaderNames, decode: PolicyDecoder) -> None:
         self._settings = settings
@@ -151,6 +159,7 @@
         self._server = HttpServer(self._handle, self._limits, body_budget)
         self._tasks: set[asyncio.Task[None]] = set()
         self._division_timer: asyncio.TimerHandle | None = None
+        self.on_quarantined: Callable[[list[CrashNotice]], None] = lambda notices: None
         self._register_callbacks()
 
     def _register_callbacks(self) -> None:
@@ -262,12 +271,27 @@
             self.peers.push()
 
     def _on_crash(self, notices: list[CrashNotice]) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._crash_notices.notify(self._settings.service, notices)
-        )
+        task = asyncio.get_running_loop().create_task(self._report_crash(notices))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _report_crash(self, notices: list[CrashNotice]) -> None:
+        fingerprints = {notice.fingerprint for notice in notices if not notice.cleared}
+        await asyncio.gather(
+            self._crash_notices.notify(self._settings.service, notices),
+            asyncio.sleep(CLEARANCE_S),
+        )
+        now = monotonic()
+        for fingerprint in sorted(fingerprints):
+            kept = self._crash_ledger.quarantine_notices(fingerprint, now)
+            if kept:
+                log.warning("request_quarantined", fingerprint=fingerprint, crashes=len(kept))
+                self.on_quarantined(kept)
+
+    def restore_quarantine(self, notices: list[CrashNotice]) -> None:
+        """Apply the notices for which a former process of some node refused a fingerprint."""
+        self._crash_ledger.apply_notices(notices, monotonic())
+
     def _handle(self, exchange: Exchange) -> None:
         self._refresh_local_peer()
         self._entry.handle(exchange)
