Send no body above 16 MiB to a peer of an earlier release

Found by reading: while a mesh is upgraded, a peer of version 1 of the link format would have closed the link, with the requests of others on it, on a larger message. Such a call is refused as not run before it is sent, and placed elsewhere. test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts covers it.

--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -27,6 +27,7 @@
 from .link_call import UnsentBody
 from .link_message import BODY_PART_BYTES
 from .link_message import BODY_PARTS_VERSION
+from .link_message import MAX_LINK_BODY_BYTES
 from .link_message import Feedback
 from .link_message import Hello
 from .link_message import Kind
@@ -350,6 +351,11 @@
         """Send a call, whose result `sink` receives; the link must be open."""
         stream = self._allocate_stream()
         call = OutgoingCall(self, stream, sink)
+        if len(request.body) > MAX_LINK_BODY_BYTES and not self._accepts_body_parts:
+            # A peer of an earlier release closes the link on a larger message.
+            refusal = Refusal(Reason.OVERLOADED, detail="the peer accepts no body of this size")
+            sink.on_refusal(refusal, Feedback(context.allowance.remaining))
+            return call
         self._outgoing_call_by_stream[stream] = call
         sends_parts = len(request.body) > BODY_PART_BYTES and self._accepts_body_parts
         self.send(pack_request(stream, context, request, monotonic(), sends_parts))
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -298,7 +298,12 @@
         self.link_pair.server.lowest_version = self.link_pair.server.highest_version = 1
         self.link_pair.client.lowest_version = 1
         link = await self.link_pair.connect()
-        link.call(context(1), request(b"a" * 3 * BODY_PART_BYTES), CollectingSink())
+        sink = CollectingSink()
+        link.call(context(1), request(b"a" * (MAX_LINK_BODY_BYTES + 1)), sink)
+        refusal = await sink.result
+        assert isinstance(refusal, Refusal)
+        self.assertIs(Outcome.NOT_RUN, refusal.outcome)
+        link.call(context(2), request(b"a" * 3 * BODY_PART_BYTES), CollectingSink())
         await self.link_pair.wait_calls(1)
         self.assertEqual(3 * BODY_PART_BYTES, len(self.link_pair.server.calls[0].body))
 
