Ask restarted nodes again once they have a policy

If all nodes were killed, a restarted one asked another that had just started too and knew nothing yet. It did not ask it again, so that it applied the policy of that node later without the members, crashes and evacuated zones that the node had learnt meanwhile. Requests that crash endpoints were accepted for some milliseconds.

The replies still come in the order of the queries, before the policy.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/catch_up.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/catch_up.py
@@ -17,7 +17,7 @@
 MEMBERS_TOPIC = "members"
 
 MAX_ASKED_NODES = 8
-"""Number of nodes that are asked; each tells all that it knows."""
+"""Number of nodes with and without a policy that are asked; each tells all that it knows."""
 
 
 class CatchUp:
@@ -39,13 +39,18 @@
         self._links = links
         self._crash_notices = crash_notices
         self._evacuation = evacuation
-        self._asked_nodes: set[str] = set()
+        self._asked_by_has_policy: dict[bool, set[str]] = {False: set(), True: set()}
 
-    def ask(self, node: str) -> None:
-        """Ask a node, unless it or enough others have been asked."""
-        if node in self._asked_nodes or len(self._asked_nodes) >= MAX_ASKED_NODES:
+    def ask(self, node: str, has_policy: bool = False) -> None:
+        """Ask a node, unless it or enough others have been asked.
+
+        A node that has got a policy is asked again: it may have been restarted at the same time,
+        and have known nothing before.
+        """
+        asked_nodes = self._asked_by_has_policy[has_policy]
+        if node in asked_nodes or len(asked_nodes) >= MAX_ASKED_NODES:
             return
-        self._asked_nodes.add(node)
+        asked_nodes.add(node)
 
         def on_reply(reply: object) -> None:
             items = reply if isinstance(reply, list) else []
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -250,7 +250,7 @@
 
     def _on_peer_state(self, node: str, policy_version: int) -> None:
         if self.policy.current is None:
-            self._catch_up.ask(node)
+            self._catch_up.ask(node, has_policy=policy_version >= 0)
         self.policy.on_peer_version(node, policy_version)
         self.trees.on_peer_seen(node)
 
