Limit the wait for departures from the first policy on

A restarted node used its endpoint 1 s after its start, also if it had no policy and the store, which has the departure, was away. If all nodes were killed, one of them could then get the policy from another restarted one before it had read its own row.

Evidence: test_a_node_uses_its_endpoint_with_the_policy_of_another_restarted_node fails without the change in 3 of 3 runs; 57 of 57 tests of departures, restarted nodes, state, store and evacuation passed, test_departures five times more.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
@@ -23,8 +23,8 @@
 DEPARTURE_TOPIC = "departure"
 
 DEPARTURE_WAIT_S = 1.0
-"""Longest time in seconds for which a restarted node waits for departures before it uses its
-endpoint; peers that had a link to the former process tell theirs within it."""
+"""Longest time in seconds for which a restarted node with a policy waits for departures before it
+uses its endpoint; peers that had a link to the former process tell theirs within it."""
 
 log = structlog.get_logger()
 
@@ -32,7 +32,8 @@
 class DepartureExchange:
     """Tells restarted nodes of the departures of their endpoints, and applies what others tell.
 
-    `on_leaving` is called when the local endpoint starts to leave.
+    `on_leaving` is called when the local endpoint starts to leave, `on_wait_limited` when the time
+    for which a restarted node waits for departures begins to run.
     """
 
     def __init__(self, view: PeerView, links: Links, serving: EndpointServing) -> None:
@@ -42,6 +43,7 @@
         self._told_by_node: dict[str, tuple[int, EndpointIdentity]] = {}
         self._wait_timer: asyncio.TimerHandle | None = None
         self.on_leaving: Callable[[EndpointIdentity], None] = lambda endpoint: None
+        self.on_wait_limited: Callable[[], None] = lambda: None
 
     @property
     def is_awaited(self) -> bool:
@@ -50,10 +52,17 @@
 
     def start(self, restarted: bool) -> None:
         """Wait for departures if the process may have had a predecessor on its host."""
-        if restarted:
-            self._serving.awaits_departure = True
+        self._serving.awaits_departure = restarted
+
+    def limit_wait(self) -> None:
+        """Limit the wait from the first policy on; no request is accepted before it.
+
+        If all nodes were killed, the source of policies and departures may be away until then.
+        """
+        if self.is_awaited:
             loop = asyncio.get_running_loop()
             self._wait_timer = loop.call_later(DEPARTURE_WAIT_S, self.end_wait)
+            self.on_wait_limited()
 
     def end_wait(self) -> None:
         """Use the endpoint from now on, unless a departure has been applied."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -214,6 +214,8 @@
         self.peers.push_to_some()
 
     def _on_policy_changed(self, policy: TrafficPolicy) -> None:
+        if self._entry.policy is None:
+            self.departures.limit_wait()
         self._entry.policy = policy
         limits = policy.limits
         self._limits.head_bytes = limits.head_bytes
