--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,8 @@
 """Run every test module in its own process and print a summary line.
 
 Modules run in parallel. System tests, which start processes, run after the unit tests and with
-fewer workers, so that they do not compete for processor time. KNOWN-RED.txt lists tests with a
+fewer workers, so that they do not compete for processor time. Tests of crowds of clients run last,
+one at a time. KNOWN-RED.txt lists tests with a
 known failure and an open issue: they are run and printed, but do not affect the exit code.
 """
 
@@ -21,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 UNIT_WORKERS = 6
 SYSTEM_WORKERS = 2
+CROWD_WORKERS = 1
 MODULE_TIMEOUT_S = 420
 RESULT_PREFIX = "RESULT "
 
@@ -144,9 +146,11 @@
 def run_all(modules: list[str]) -> int:
     """Run modules; print failures, known failures and a summary line; return the exit code."""
     system = [name for name in modules if name.startswith("test_system.")]
-    unit = [name for name in modules if not name.startswith("test_system.")]
+    crowds = [name for name in modules if name.startswith("test_crowds.")]
+    unit = [name for name in modules if name not in {*system, *crowds}]
+    groups = ((unit, UNIT_WORKERS), (system, SYSTEM_WORKERS), (crowds, CROWD_WORKERS))
     results: list[ModuleResult] = []
-    for names, workers in ((unit, UNIT_WORKERS), (system, SYSTEM_WORKERS)):
+    for names, workers in groups:
         with ThreadPoolExecutor(workers) as pool:
             for result in pool.map(run_module, names):
                 state = "FAILED" if result.failed else "ok"
