Limit the open connections of every port

What callers saw: with 5,000 connections that send one byte, two of five ordinary requests got no answer (findings of the users); the process had no descriptor left for connections of its own.

Cause: no listener bounded its connections, the ports of the platform had no timeouts, and an accepted link could wait for ever for its first message.

At the limit, connections without a request in progress are closed for new ones, in the order in which their callers lose least. Links send their first message within 5 s.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -81,6 +81,9 @@
         """Reply to a query with None."""
         answer(None)
 
+    def on_link_accepted(self, link: Link) -> None:
+        """Ignore the connection until its handshake."""
+
     def on_link_open(self, link: Link) -> None:
         """Ignore the event."""
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -32,7 +32,14 @@
 
 CONTINUE_HEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-LISTEN_BACKLOG = 1024
+MAX_LISTEN_BACKLOG = 1024
+"""Largest number of connections that wait to be accepted; all may be accepted in one turn of the
+event loop, so that it also depends on the limit on connections."""
+
+MIN_LISTEN_BACKLOG = 16
+
+MIN_REPLACED_FRACTION = 1 / 32
+"""Part of the connections that are closed together for new ones, as their search takes time."""
 
 UNREAD_OUTPUT_TIMEOUT_S = 5.0
 """Time within which a caller that has closed its sending side must read the buffered output;
@@ -58,6 +65,11 @@
 Handler = Callable[[Exchange], None]
 
 
+def listen_backlog(max_connections: int) -> int:
+    """Return how many connections may wait to be accepted on a port with this limit."""
+    return min(MAX_LISTEN_BACKLOG, max(MIN_LISTEN_BACKLOG, max_connections // 2))
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection from a caller; handles one request at a time."""
 
@@ -83,6 +95,7 @@
         self._discarding_input = False
         self._is_ending = False
         self._idle_since: float | None = None
+        self._has_served = False
         self.writing_paused = False
 
     @property
@@ -90,6 +103,20 @@
         """Whether no request is being received or processed."""
         return self._exchange is None and self._request is None
 
+    @property
+    def replacement_rank(self) -> int | None:
+        """Order in which connections are closed for a new one, or None if this one must stay.
+
+        Callers send a request again if its connection closes before it was read.
+        """
+        if self._exchange is not None:
+            return None
+        if self._is_ending:
+            return 2
+        if self._request is not None:
+            return 3
+        return 1 if self._has_served else 0
+
     @property
     def has_unsent_output(self) -> bool:
         """Whether the caller may have still to read a part of a response."""
@@ -115,7 +142,7 @@
         self._stop_pause_timer()
         if self._continuation is not None:
             self._continuation.cancel()
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
         self._release_body()
         self._cancel_exchange()
 
@@ -359,6 +386,7 @@
     def _await_next_request(self) -> None:
         if self._transport is None:
             return
+        self._has_served = True
         self._release_body()
         self._reader.start_next()
         has_data = self._reader.pending_bytes > 0
@@ -430,7 +458,8 @@
         self.handler = handler
         self.limits = limits or ServerLimits()
         self.body_budget = body_budget or BodyBudget()
-        self.connections: set[ServerConnection] = set()
+        # In the order in which they were accepted.
+        self.connections: dict[ServerConnection, None] = {}
         self.draining = False
         self._server: asyncio.Server | None = None
         self._expiry_timer: asyncio.TimerHandle | None = None
@@ -439,7 +468,10 @@
         """Start to listen and return the port; with port 0 the operating system chooses one."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: ServerConnection(self),
+            host,
+            port,
+            backlog=listen_backlog(self.limits.max_connections),
         )
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -450,10 +482,27 @@
 
     def track_connection(self, connection: ServerConnection) -> None:
         """Add an open connection and check it for timeouts until it closes."""
-        self.connections.add(connection)
+        if len(self.connections) >= self.limits.max_connections and not self._make_room():
+            connection.abort()
+            return
+        self.connections[connection] = None
         if self._expiry_timer is None:
             self._schedule_expiry_check()
 
+    def _make_room(self) -> bool:
+        """Close connections without a request in progress; return whether there were any."""
+        ranked = [
+            (rank, connection)
+            for connection in self.connections
+            if (rank := connection.replacement_rank) is not None
+        ]
+        ranked.sort(key=lambda item: item[0])
+        count = max(1, int(self.limits.max_connections * MIN_REPLACED_FRACTION))
+        for _, connection in ranked[:count]:
+            del self.connections[connection]
+            connection.abort()
+        return bool(ranked)
+
     def _schedule_expiry_check(self) -> None:
         loop = asyncio.get_running_loop()
         self._expiry_timer = loop.call_later(EXPIRY_CHECK_INTERVAL_S, self._check_connections)
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -70,6 +70,9 @@
     def handle_query(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
         """Handle a query from a peer; `answer` sends the reply."""
 
+    def on_link_accepted(self, link: Link) -> None:
+        """Handle a connection that a peer has opened, before its handshake."""
+
     def on_link_open(self, link: Link) -> None:
         """Handle a link that has completed its handshake."""
 
@@ -158,6 +161,8 @@
         self._transport = cast(asyncio.Transport, transport)
         self._disconnect_detector = DisconnectDetector(self._transport)
         self.send(self._owner.hello.to_wire())
+        if self.is_accepted:
+            self._owner.on_link_accepted(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -213,6 +213,43 @@
         assert isinstance(response, HttpResponse)
         self.assertEqual(200, response.status)
 
+    async def test_more_connections_than_the_limit_keep_others_from_being_served(self) -> None:
+        """Connections without a request are closed for new ones, busy ones are not."""
+        release = asyncio.Event()
+
+        async def wait(request: HttpRequest) -> HttpResponse:
+            await release.wait()
+            return await echo(request)
+
+        limits = ServerLimits(max_connections=3)
+        server = HttpServer(async_handler(wait), limits)
+        self.addAsyncCleanup(server.close)
+        port = await server.start("127.0.0.1", 0)
+        connections = []
+        for data in (b"", b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", b"G"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            self.addCleanup(writer.close)
+            writer.write(data)
+            await asyncio.sleep(0.02)
+            connections.append(reader)
+        client = HttpClient()
+        self.addAsyncCleanup(client.close)
+        address = Address("127.0.0.1", port)
+        requests = [
+            asyncio.create_task(client.request(address, "GET", f"/{number}")) for number in range(3)
+        ]
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            for idle in (connections[0], connections[2]):
+                self.assertEqual(b"", await idle.read())
+            await asyncio.sleep(0.02)
+            release.set()
+            self.assertIn(b"HTTP/1.1 200 ", await connections[1].readline())
+            responses = await asyncio.gather(*requests)
+        statuses = [item.status if isinstance(item, HttpResponse) else item for item in responses]
+        self.assertEqual([200, 200], [item for item in statuses if item == 200])
+        (failure,) = [item for item in responses if isinstance(item, HttpFailure)]
+        self.assertIs(FailureReason.CLOSED, failure.reason)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -117,6 +117,9 @@
     def handle_query(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
         answer([topic, payload])
 
+    def on_link_accepted(self, link: Link) -> None:
+        pass
+
     def on_link_open(self, link: Link) -> None:
         self.links.append(link)
 
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -21,6 +21,7 @@
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_server import listen_backlog
 from pollenglade_net.link import PING_AFTER_IDLE_S
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
@@ -45,8 +46,14 @@
 REOPEN_LIMIT_S = 10.0
 """Time after which a link is no longer reopened; the deadlines of its calls have passed."""
 
+HANDSHAKE_TIMEOUT_S = 5.0
+"""Time within which the peer that opened a link sends its first message; a paused one needs longer
+and opens another link."""
+
 CHECK_INTERVAL_S = 0.1
-LISTEN_BACKLOG = 1024
+
+DEFAULT_MAX_ACCEPTED_LINKS = 1024
+"""Number of links that other nodes may have opened; each of 880 nodes opens one."""
 
 log = structlog.get_logger()
 
@@ -107,7 +114,9 @@
         serving: CallRunner,
         source_host: str | None = None,
         body_budget: BodyBudget | None = None,
+        max_accepted_links: int = DEFAULT_MAX_ACCEPTED_LINKS,
     ) -> None:
+        self._max_accepted_links = max_accepted_links
         self._hello = hello
         self.body_budget = body_budget or BodyBudget()
         self._serving = serving
@@ -119,6 +128,8 @@
         self._connect_task_by_node: dict[str, asyncio.Task[Link | None]] = {}
         self._reopening_nodes: set[str] = set()
         self._accepted_links: set[Link] = set()
+        # Accepted connections that have sent no handshake so far, oldest first.
+        self._accepted_at_by_new_link: dict[Link, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check_timer: asyncio.TimerHandle | None = None
         self.peers_by_node: dict[str, PeerAddress] = {}
@@ -140,7 +151,7 @@
             lambda: Link(self, is_accepted=True),
             address.host,
             address.port,
-            backlog=LISTEN_BACKLOG,
+            backlog=listen_backlog(self._max_accepted_links),
         )
         self._check_links()
 
@@ -152,6 +163,10 @@
             has_calls_at_peer = link.has_calls_at_peer
             if link.check_liveness(now) and has_calls_at_peer and link.peer is not None:
                 self._schedule_reopen(link.peer.node)
+        for link, accepted_at in list(self._accepted_at_by_new_link.items()):
+            if now - accepted_at < HANDSHAKE_TIMEOUT_S:
+                break
+            link.close("no handshake in time", abort=True)
         self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check_links)
 
     def _schedule_reopen(self, node: str) -> None:
@@ -278,6 +293,31 @@
         """Run a call from a peer."""
         return self._serving.run(context, request, sink)
 
+    def on_link_accepted(self, link: Link) -> None:
+        """Register a connection from a peer that has not sent its first message.
+
+        Above the limit, another one of these is closed for it, or else a link to a node that is no
+        member, or else the new one.
+        """
+        new_links = self._accepted_at_by_new_link
+        new_links[link] = monotonic()
+        if len(self._accepted_links) + len(new_links) <= self._max_accepted_links:
+            return
+        replaced = next(iter(new_links))
+        if replaced is link:
+            strangers = (item for item in self._accepted_links if not self.is_member(item))
+            replaced = next(strangers, link)
+        self._forget_link(replaced)
+        replaced.close("too many links", abort=True)
+
+    def is_member(self, link: Link) -> bool:
+        """Whether the peer of a link is a known node of the mesh."""
+        return link.peer is not None and link.peer.node in self.peers_by_node
+
+    def _forget_link(self, link: Link) -> None:
+        self._accepted_at_by_new_link.pop(link, None)
+        self._accepted_links.discard(link)
+
     def on_link_open(self, link: Link) -> None:
         """Register a link whose handshake is complete, and close the links that it replaces.
 
@@ -287,6 +327,7 @@
         for previous in list(self._accepted_links):
             if is_replaced_by(previous, link):
                 previous.close("the peer has opened another link", abort=True)
+        self._accepted_at_by_new_link.pop(link, None)
         self._accepted_links.add(link)
 
     def on_link_drain(self, link: Link) -> None:
@@ -296,7 +337,7 @@
 
     def on_link_closed(self, link: Link) -> None:
         """Remove a closed link."""
-        self._accepted_links.discard(link)
+        self._forget_link(link)
         if link.peer is None:
             return
         if self._link_by_node.get(link.peer.node) is link:
@@ -344,6 +385,8 @@
             self._server.close()
         for task in [*self._tasks, *self._connect_task_by_node.values()]:
             task.cancel()
+        for link in [*self._accepted_at_by_new_link]:
+            link.close("the node stops")
         for link in [*self._link_by_node.values(), *self._accepted_links]:
             link.close("the node stops")
         await asyncio.sleep(0)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -111,7 +111,12 @@
         )
         hello = Hello(settings.node, incarnation, settings.zone)
         body_budget = BodyBudget(settings.body_budget_bytes)
-        self._links = Links(hello, self.serving, body_budget=body_budget)
+        self._links = Links(
+            hello,
+            self.serving,
+            body_budget=body_budget,
+            max_accepted_links=settings.max_accepted_links,
+        )
         self.view = PeerView(settings.zone, random_source, settings.region_by_zone)
         self.view.add(settings.node, settings.zone, settings.service)
         self._local_peer = self.view.peer_by_node[settings.node]
@@ -155,7 +160,9 @@
         )
         self._catch_up = CatchUp(self.peers, self._links, self._crash_notices, self.evacuation)
         self.departures = DepartureExchange(self.view, self._links, self.serving)
-        self._limits = ServerLimits(cancel_on_eof=True)
+        self._limits = ServerLimits(
+            cancel_on_eof=True, max_connections=settings.max_caller_connections
+        )
         self._server = HttpServer(self._handle, self._limits, body_budget)
         self._tasks: set[asyncio.Task[None]] = set()
         self._division_timer: asyncio.TimerHandle | None = None
