Count the time for the head of a request from its first byte

What callers saw: nothing; a caller that sends a head byte by byte kept its connection for ever.

Cause: each byte set the timeout for the head anew.

Change: it is set when the first byte of a request arrives.

Measured: test_the_time_for_a_head_begins_again_with_each_byte got no answer in 5 s before; it gets 408 now.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -165,7 +165,8 @@
         self._reader.receive(data)
         if self._exchange is None:
             if self._request is None:
-                self._set_expiry(self._limits.head_timeout_s, self._on_head_timeout)
+                if self._idle_since is not None:
+                    self._set_expiry(self._limits.head_timeout_s, self._on_head_timeout)
             else:
                 self._set_expiry(self._limits.idle_timeout_s, self._on_body_timeout)
             self._process_events()
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -250,6 +250,20 @@
         (failure,) = [item for item in responses if isinstance(item, HttpFailure)]
         self.assertIs(FailureReason.CLOSED, failure.reason)
 
+    async def test_the_time_for_a_head_begins_again_with_each_byte(self) -> None:
+        """A caller that sends its head byte by byte keeps its connection for ever."""
+        server = HttpServer(async_handler(echo), ServerLimits(head_timeout_s=0.5))
+        self.addAsyncCleanup(server.close)
+        port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        answer = asyncio.create_task(reader.read())
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while not answer.done():
+                writer.write(b"G")
+                await asyncio.sleep(0.1)
+        self.assertIn(b" 408 ", await answer)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
