Count all memory that callers make a connection hold, and give it back at once

What callers saw: processes that ran out of memory under many bodies of legal size, whole, short of their end, in small chunks, or left by their callers; of many bodies at once none was served.

Cause: the budget counted only bodies above 128 KiB, and of these only the bytes that had arrived. Smaller bodies, bytes received ahead and parsed fields, times the number of connections, had no bound. What a rejected or departed caller had sent stayed until a garbage collection. A body was copied when it was passed on.

An announced body is reserved whole, so that the first ones are served. Without room, requests that make no progress are rejected first. Received bytes are dropped with their connection or at a rejection; large bodies are passed on without a copy. The serving node counts the bodies of calls in the same way.

Why it works: the sum of what is counted is bounded, and what is not counted is bounded per connection, whose number is.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -31,7 +31,6 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import Headers
@@ -41,6 +40,7 @@
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
+from pollenglade_net.memory_budget import MemoryBudget
 
 RESPONSE_HEADERS: Headers = [(b"content-type", b"application/json"), (b"x-version", b"7")]
 RESPONSE_BODY = b'{"status":"submitted","id":17,"documents":[1,2,3]}'
@@ -70,7 +70,7 @@
 
     def __init__(self, name: str) -> None:
         self.hello = Hello(name, 1, "zone-a")
-        self.body_budget = BodyBudget()
+        self.memory_budget = MemoryBudget()
 
     def run_call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
         """Send the fixed response."""
--- a/packages/pollenglade-emulator/src/pollenglade_emulator/platform_standin.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/platform_standin.py
@@ -121,12 +121,12 @@
                 row = self.rows_by_name.get(name)
                 return _json(200, row) if row else _json(404, {"detail": "no such row"})
             case ("PUT", "table", True):
-                return self._write_row(name, request.body)
+                return self._write_row(name, bytes(request.body))
             case ("GET", "objects", True):
                 data = self.objects_by_name.get(name)
                 return _json(404, {}) if data is None else HttpResponse(200, [], data)
             case ("PUT", "objects", True):
-                self.objects_by_name[name] = request.body
+                self.objects_by_name[name] = bytes(request.body)
                 return HttpResponse(204, [])
         return _json(400, {"detail": "no such operation; see the module documentation"})
 
--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -141,7 +141,7 @@
         method: str,
         target: bytes,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         sink: ResponseSink,
         timeout_s: float,
         fields_validated: bool = False,
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -68,7 +68,7 @@
         method: str,
         target: str,
         headers: Headers | None = None,
-        body: bytes = b"",
+        body: bytes | bytearray = b"",
         timeout_s: float = 2.0,
         limit_bytes: int = MAX_RESPONSE_BYTES,
         max_idle_s: float = MAX_IDLE_S,
--- a/packages/pollenglade-net/src/pollenglade_net/http_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_message.py
@@ -58,12 +58,12 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """A request with its complete body."""
+    """A request with its complete body, which is not changed."""
 
     method: str
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header field by its lower-case name."""
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -9,7 +9,6 @@
 
 import orjson
 
-from .body_budget import BodyBudget
 from .disconnect_detector import DisconnectDetector
 from .exchange import Exchange
 from .http_head import ProtocolError
@@ -19,6 +18,10 @@
 from .http_message import HttpRequest
 from .http_message import encode_message_head
 from .http_message import status_line
+from .memory_budget import LARGE_BYTES
+from .memory_budget import UNCOUNTED_BYTES
+from .memory_budget import MemoryBudget
+from .memory_budget import body_memory_bytes
 from .message_reader import RequestReader
 from .server_limits import ServerLimits
 from .streamed_response import StreamedResponse
@@ -52,8 +55,17 @@
 """Time after the last response on a connection in which the caller closes it; further input is read
 and discarded until then."""
 
-UNCOUNTED_BODY_BYTES = 128 * 1024
-"""Size of a body up to which it is accepted however much memory other bodies take."""
+FIELD_BYTES = 250
+"""Approximate memory of a parsed header field in addition to its name and value."""
+
+GROWTH_BYTES = 16 * 1024
+"""Least memory that is reserved together for a body whose size is not known."""
+
+MIN_PROGRESS_BYTES = 16 * 1024
+"""Bytes that a caller sends or reads between two checks, unless it makes no progress."""
+
+STALLED_CHECKS = 2
+"""Number of checks without progress after which a request is rejected if memory is short."""
 
 REJECTION_RETRY_AFTER_S = 1
 """Delay in seconds after which a request for whose body there was no memory may be sent again."""
@@ -83,7 +95,12 @@
         self._disconnect_detector: DisconnectDetector | None = None
         self._request: RequestHead | None = None
         self._body = bytearray()
+        self._body_reservation_bytes = 0
+        self._request_bytes = 0
         self._reserved_bytes = 0
+        self._received_bytes = 0
+        self._progress_bytes = 0
+        self._checks_without_progress = 0
         self._awaits_continue = False
         self._stays_open = False
         self._request_version = b"1.1"
@@ -143,9 +160,17 @@
         if self._continuation is not None:
             self._continuation.cancel()
         self._server.connections.pop(self, None)
-        self._release_body()
+        self._drop_input()
         self._cancel_exchange()
 
+    def _drop_input(self) -> None:
+        """Give the memory of received bytes back without a garbage collection."""
+        self._reader.discard()
+        self._request = None
+        self._body = bytearray()
+        self._body_reservation_bytes = self._request_bytes = 0
+        self._update_reservation()
+
     def _cancel_exchange(self) -> None:
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
@@ -162,6 +187,7 @@
     def data_received(self, data: bytes) -> None:
         if self._discarding_input:
             return
+        self._received_bytes += len(data)
         self._reader.receive(data)
         if self._exchange is None:
             if self._request is None:
@@ -174,6 +200,19 @@
             self._transport.pause_reading()
             loop = asyncio.get_running_loop()
             self._pause_timer = loop.call_later(MAX_READ_PAUSE_S, self._discard_further_input)
+        if self._reader.pending_bytes > UNCOUNTED_BYTES:
+            self._reserve_pending_input()
+
+    def _reserve_pending_input(self) -> None:
+        if self._update_reservation():
+            return
+        if self._exchange is None:
+            self._reject_for_memory()
+            return
+        # The caller may send the later requests again, as the connection closes before them.
+        self._reader.discard()
+        self._discard_further_input()
+        self._update_reservation()
 
     def _discard_further_input(self) -> None:
         """Resume reading and discard the data, only to detect that the caller disconnects.
@@ -266,6 +305,8 @@
             self._begin_request(event)
         elif not self._add_to_body(event):
             return False
+        if self._is_ending:
+            return False
         if self._reader.is_message_complete:
             self._dispatch_request()
         return True
@@ -286,7 +327,8 @@
             self._set_expiry(self._limits.idle_timeout_s, self._on_body_timeout)
         self._request = head
         self._awaits_continue = head.expects_continue
-        self._check_body_size(head.length)
+        if self._check_body_size(head.length):
+            self._reserve_request(head)
 
     def _check_body_size(self, size: int) -> bool:
         """Reject the request if its body is too large; return whether it is not."""
@@ -296,32 +338,67 @@
             return False
         return True
 
+    def _reserve_request(self, head: RequestHead) -> None:
+        """Reserve memory for the head and the body that it announces, or reject the request."""
+        self._request_bytes = self._reader.head_bytes + FIELD_BYTES * len(head.headers)
+        self._body_reservation_bytes = body_memory_bytes(max(0, head.length))
+        if not self._update_reservation():
+            self._reject_for_memory()
+
     def _add_to_body(self, data: bytes) -> bool:
         self._awaits_continue = False
         size = len(self._body) + len(data)
         if not self._check_body_size(size):
             return False
-        if size > UNCOUNTED_BODY_BYTES and not self._reserve_body(size):
-            self.reject(503, "no memory for the body; send it again later", "overloaded")
-            return False
+        if body_memory_bytes(size) > self._body_reservation_bytes:
+            size += max(size // 4, GROWTH_BYTES)
+            self._body_reservation_bytes = body_memory_bytes(size)
+            if not self._update_reservation():
+                self._reject_for_memory()
+                return False
         self._body += data
         return True
 
-    def _reserve_body(self, size: int) -> bool:
-        if not self._server.body_budget.try_reserve(size - self._reserved_bytes):
+    def _reject_for_memory(self) -> None:
+        self.reject(503, "no memory for the request; send it again later", "overloaded")
+
+    def _update_reservation(self) -> bool:
+        """Reserve what the connection holds now; return False if there is no memory for it."""
+        size = self._request_bytes + self._body_reservation_bytes
+        if self._exchange is not None:
+            size += self._reader.pending_bytes
+        else:
+            # Bytes that have not been read belong to the body.
+            received_bytes = len(self._body) + self._reader.pending_bytes
+            size += max(0, received_bytes - self._body_reservation_bytes)
+        if size <= UNCOUNTED_BYTES:
+            size = 0
+        if not self._server.memory_budget.try_resize(self._reserved_bytes, size):
             return False
         self._reserved_bytes = size
         return True
 
-    def _release_body(self) -> None:
-        if self._reserved_bytes:
-            self._server.body_budget.release(self._reserved_bytes)
-            self._reserved_bytes = 0
+    def check_progress(self) -> None:
+        """Note whether the caller has sent bytes since the last check."""
+        progress_bytes, self._progress_bytes = self._progress_bytes, self._received_bytes
+        if not self._reserved_bytes or self._received_bytes - progress_bytes >= MIN_PROGRESS_BYTES:
+            self._checks_without_progress = 0
+        else:
+            self._checks_without_progress += 1
+
+    def end_if_stalled(self) -> None:
+        """Reject a request that takes memory and whose caller has stopped to send it."""
+        is_stalled = self._checks_without_progress >= STALLED_CHECKS
+        if is_stalled and self._reserved_bytes and self._exchange is None:
+            self._reject_for_memory()
 
     def _dispatch_request(self) -> None:
         head = self._request
         assert head is not None
-        body = bytes(self._body)
+        # A large body is not copied, as the copy would double its memory.
+        body: bytes | bytearray = self._body
+        if len(body) <= LARGE_BYTES:
+            body = bytes(body)
         self._request = None
         self._set_expiry(None, self.close)
         if body:
@@ -388,8 +465,10 @@
         if self._transport is None:
             return
         self._has_served = True
-        self._release_body()
         self._reader.start_next()
+        self._body_reservation_bytes = self._request_bytes = 0
+        if self._reserved_bytes:
+            self._update_reservation()
         has_data = self._reader.pending_bytes > 0
         if (self._received_eof or self._discarding_input) and not has_data:
             self._close_after_response()
@@ -431,6 +510,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._is_ending = self._discarding_input = True
+        self._drop_input()
         self._stop_pause_timer()
         self._set_expiry(limit_s, on_expiry)
         self._transport.resume_reading()
@@ -454,11 +534,12 @@
         self,
         handler: Handler,
         limits: ServerLimits | None = None,
-        body_budget: BodyBudget | None = None,
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits or ServerLimits()
-        self.body_budget = body_budget or BodyBudget()
+        self.memory_budget = memory_budget or MemoryBudget()
+        self.memory_budget.reclaimers.append(self._end_stalled_requests)
         # In the order in which they were accepted.
         self.connections: dict[ServerConnection, None] = {}
         self.draining = False
@@ -513,9 +594,14 @@
         now = monotonic()
         for connection in list(self.connections):
             connection.check_expiry(now)
+            connection.check_progress()
         if self.connections:
             self._schedule_expiry_check()
 
+    def _end_stalled_requests(self) -> None:
+        for connection in list(self.connections):
+            connection.end_if_stalled()
+
     def drain(self) -> None:
         """Close each connection after its next response."""
         self.draining = True
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -18,7 +18,6 @@
 
 from .attempt import Attempt
 from .attempt import AttemptSink
-from .body_budget import BodyBudget
 from .disconnect_detector import DisconnectDetector
 from .http_message import HttpRequest
 from .link_call import IncomingCall
@@ -41,6 +40,9 @@
 from .link_message import unpack_headers
 from .link_message import unpack_refusal
 from .link_message import unpack_request
+from .memory_budget import UNCOUNTED_BYTES
+from .memory_budget import MemoryBudget
+from .memory_budget import body_memory_bytes
 from .message_decoder import MessageDecoder
 
 STREAM_WINDOW_BYTES = 256 * 1024
@@ -61,7 +63,7 @@
         """First message that this node sends on a link."""
 
     @property
-    def body_budget(self) -> BodyBudget:
+    def memory_budget(self) -> MemoryBudget:
         """Bound on the memory for request bodies that arrive in parts."""
 
     def run_call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
@@ -263,18 +265,22 @@
             # The request was read late, after it was cancelled or the peer disconnected.
             return
         size = unpack_body_size(message)
-        if size:
-            self._receive_partial_call(stream, PartialCall(context, request, size))
+        if not self._reserve_body(stream, body_memory_bytes(size or len(request.body))):
+            refusal = Refusal(Reason.OVERLOADED, detail="no memory for the body of the request")
+            self.send(pack_refusal(Kind.REFUSED, stream, refusal, Feedback()))
+        elif size:
+            self._partial_call_by_stream[stream] = PartialCall(context, request, size)
         else:
             self._run_call(stream, context, request)
 
-    def _receive_partial_call(self, stream: int, call: PartialCall) -> None:
-        if not self._owner.body_budget.try_reserve(call.size):
-            refusal = Refusal(Reason.OVERLOADED, detail="no memory for the body of the request")
-            self.send(pack_refusal(Kind.REFUSED, stream, refusal, Feedback()))
-            return
-        self._body_bytes_by_stream[stream] = call.size
-        self._partial_call_by_stream[stream] = call
+    def _reserve_body(self, stream: int, size: int) -> bool:
+        """Reserve memory for the body of a call, until the call ends."""
+        if size <= UNCOUNTED_BYTES:
+            return True
+        if not self._owner.memory_budget.try_resize(0, size):
+            return False
+        self._body_bytes_by_stream[stream] = size
+        return True
 
     def _receive_request_body(self, stream: int, message: Sequence[object]) -> None:
         call = self._partial_call_by_stream.get(stream)
@@ -437,7 +443,7 @@
     def _release_body(self, stream: int) -> None:
         size = self._body_bytes_by_stream.pop(stream, 0)
         if size:
-            self._owner.body_budget.release(size)
+            self._owner.memory_budget.try_resize(size, 0)
 
     def send_drain(self) -> None:
         """Notify the peer that this node is draining and accepts no further calls."""
--- a/packages/pollenglade-net/src/pollenglade_net/link_call.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_call.py
@@ -67,7 +67,7 @@
 
     __slots__ = ("_data", "_position")
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes | bytearray) -> None:
         self._data = data
         self._position = 0
 
@@ -76,7 +76,7 @@
         """Whether the whole body has been taken."""
         return self._position >= len(self._data)
 
-    def take_part(self) -> bytes:
+    def take_part(self) -> bytes | bytearray:
         """Return the next part."""
         start = self._position
         self._position = start + BODY_PART_BYTES
@@ -86,25 +86,24 @@
 class PartialCall:
     """A call from the peer of which a part of the body is missing; `size` is that of the body."""
 
-    __slots__ = ("_missing_bytes", "_parts", "context", "request", "size")
+    __slots__ = ("_body", "_missing_bytes", "context", "request", "size")
 
     def __init__(self, context: CallContext, request: HttpRequest, size: int) -> None:
         self.context = context
         self.request = request
         self.size = size
         self._missing_bytes = size
-        self._parts: list[bytes] = []
+        self._body = bytearray()
 
     def add_part(self, data: bytes) -> bool:
         """Add a part and return whether the request is complete; raise LinkError if too large."""
         self._missing_bytes -= len(data)
         if self._missing_bytes < 0:
             raise LinkError("the parts of a request body exceed its size")
-        self._parts.append(data)
+        self._body += data
         if self._missing_bytes:
             return False
-        self.request.body = b"".join(self._parts)
-        self._parts.clear()
+        self.request.body, self._body = self._body, bytearray()
         return True
 
 
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -221,7 +221,7 @@
     )
 
 
-def pack_request_body(stream: int, data: bytes) -> bytes:
+def pack_request_body(stream: int, data: bytes | bytearray) -> bytes:
     """Encode a part of the body of a call."""
     return pack([Kind.REQUEST_BODY, stream, data])
 
--- a/packages/pollenglade-net/src/pollenglade_net/message_reader.py
+++ b/packages/pollenglade-net/src/pollenglade_net/message_reader.py
@@ -52,6 +52,8 @@
         self._state = _State.HEAD
         self._remaining_bytes = 0
         self._received_eof = False
+        self.head_bytes = 0
+        """Size of the latest head."""
 
     @property
     def pending_bytes(self) -> int:
@@ -71,6 +73,10 @@
             self._position = 0
         self._buffer = self._buffer + data if self._buffer else data
 
+    def discard(self) -> None:
+        """Drop all bytes that have not been read."""
+        self._advance(len(self._buffer))
+
     def receive_eof(self) -> None:
         """Note that no further bytes will arrive."""
         self._received_eof = True
@@ -125,6 +131,7 @@
             self._check_incomplete()
             return None
         buffer, position = self._buffer, self._position
+        self.head_bytes = end - position
         head = self._parse_head(buffer[position:end])
         self._advance(end)
         self._begin_body(head)
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -13,7 +13,6 @@
 
 from pollenglade_net.address import Address
 from pollenglade_net.async_handler import async_handler
-from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.client_connection import LINGER_RESET_ON_CLOSE
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.connection_pool import ConnectionPool
@@ -26,6 +25,7 @@
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.http_server import HttpServer
+from pollenglade_net.memory_budget import MemoryBudget
 from pollenglade_net.server_limits import ServerLimits
 
 READ_TIMEOUT_S = 5.0
@@ -189,14 +189,14 @@
     async def test_a_body_that_stops_to_arrive_takes_memory_from_others(self) -> None:
         """The memory for bodies is limited; a caller that sends no more must not keep its part."""
         limits = ServerLimits(idle_timeout_s=0.3)
-        server = HttpServer(async_handler(echo), limits, BodyBudget(400_000))
+        server = HttpServer(async_handler(echo), limits, MemoryBudget(400_000))
         self.addAsyncCleanup(server.close)
         address = Address("127.0.0.1", await server.start("127.0.0.1", 0))
         head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
         stopped_reader, stopped_writer = await asyncio.open_connection("127.0.0.1", address.port)
         stopped_writer.write(head % 350_000 + b"a" * 300_000)
         async with asyncio.timeout(READ_TIMEOUT_S):
-            while server.body_budget.reserved_bytes < 300_000:
+            while server.memory_budget.reserved_bytes < 300_000:
                 await asyncio.sleep(0.01)
         client = HttpClient()
         self.addAsyncCleanup(client.close)
@@ -264,6 +264,50 @@
                 await asyncio.sleep(0.1)
         self.assertIn(b" 408 ", await answer)
 
+    async def test_bodies_sent_at_the_same_time_keep_each_other_from_being_served(self) -> None:
+        """Each would take a part of the memory that none of them gets whole."""
+        size = 250_000
+        server = HttpServer(async_handler(echo), ServerLimits(), MemoryBudget(400_000))
+        self.addAsyncCleanup(server.close)
+        port = await server.start("127.0.0.1", 0)
+        connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size
+        for data in (head, *[b"a" * 25_000] * 10):
+            for _, writer in connections:
+                writer.write(data)
+                await asyncio.sleep(0.01)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            lines = [await reader.readline() for reader, _ in connections]
+        for _, writer in connections:
+            writer.close()
+        self.assertEqual([b"200", b"503", b"503", b"503"], [line.split()[1] for line in lines])
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while server.memory_budget.reserved_bytes:
+                await asyncio.sleep(0.01)
+
+    async def test_requests_that_stop_to_arrive_keep_others_from_being_served(self) -> None:
+        """Memory of a request without progress is given to another one that needs it."""
+        server = HttpServer(async_handler(echo), ServerLimits(), MemoryBudget(300_000))
+        self.addAsyncCleanup(server.close)
+        address = Address("127.0.0.1", await server.start("127.0.0.1", 0))
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n"
+        connections = [await asyncio.open_connection("127.0.0.1", address.port) for _ in range(4)]
+        for _, writer in connections:
+            self.addCleanup(writer.close)
+            writer.write(head + b"a" * 89_999)
+        client = HttpClient()
+        self.addAsyncCleanup(client.close)
+        statuses = set()
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while server.memory_budget.reserved_bytes < 300_000:
+                await asyncio.sleep(0.01)
+            while 200 not in statuses:
+                response = await client.request(address, "POST", "/", body=b"b" * 50_000)
+                assert isinstance(response, HttpResponse)
+                statuses.add(response.status)
+                await asyncio.sleep(0.05)
+        self.assertEqual({200, 503}, statuses)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -21,7 +21,6 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link import PING_AFTER_IDLE_S
@@ -37,6 +36,7 @@
 from pollenglade_net.link_message import Kind
 from pollenglade_net.link_message import pack
 from pollenglade_net.link_message import pack_request
+from pollenglade_net.memory_budget import MemoryBudget
 
 WAIT_TIMEOUT_S = 5.0
 
@@ -102,14 +102,14 @@
     links: list[Link] = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
-    body_budget: BodyBudget = field(default_factory=BodyBudget)
+    memory_budget: MemoryBudget = field(default_factory=MemoryBudget)
 
     @property
     def hello(self) -> Hello:
         return Hello(self.name, 1, "zone-a", self.lowest_version, self.highest_version)
 
     def run_call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
-        call = RunningCall(request.body, sink)
+        call = RunningCall(bytes(request.body), sink)
         self.calls.append(call)
         self.arrived.set()
         return call
@@ -246,14 +246,14 @@
         self.assertEqual(bodies, {call.body[:1]: len(call.body) for call in calls})
         for call in calls:
             call.sink.on_response(200, [], b"", Feedback())
-        self.assertEqual(0, self.link_pair.server.body_budget.reserved_bytes)
+        self.assertEqual(0, self.link_pair.server.memory_budget.reserved_bytes)
 
     async def test_call_whose_body_was_not_sent_whole_may_have_run(self) -> None:
         """A call is withdrawn, or not run at a close, until the last part of its body is sent."""
         for ends_by_close in (False, True):
             with self.subTest(ends_by_close=ends_by_close):
                 link = await self.link_pair.connect()
-                budget = self.link_pair.server.body_budget
+                budget = self.link_pair.server.memory_budget
                 sink = CollectingSink()
                 attempt = link.call(context(1), request(b"a" * 64 * BODY_PART_BYTES), sink)
                 async with asyncio.timeout(WAIT_TIMEOUT_S):
@@ -274,7 +274,7 @@
     async def test_bodies_take_more_memory_than_the_node_has(self) -> None:
         """A body beyond the budget is refused as not run, and the link stays open."""
         link = await self.link_pair.connect()
-        self.link_pair.server.body_budget.limit_bytes = 2 * BODY_PART_BYTES
+        self.link_pair.server.memory_budget.limit_bytes = 2 * BODY_PART_BYTES
         sink, later_sink = CollectingSink(), CollectingSink()
         link.call(context(1), request(b"a" * 3 * BODY_PART_BYTES), sink)
         async with asyncio.timeout(WAIT_TIMEOUT_S):
@@ -292,9 +292,9 @@
         size = 2 * BODY_PART_BYTES
         now = monotonic()
         link.data_received(pack_request(7, context(1), request(b"a" * size), now, True))
-        self.assertEqual(size, self.link_pair.server.body_budget.reserved_bytes)
+        self.assertEqual(size, self.link_pair.server.memory_budget.reserved_bytes)
         link.check_liveness(now + 60.0)
-        self.assertEqual(0, self.link_pair.server.body_budget.reserved_bytes)
+        self.assertEqual(0, self.link_pair.server.memory_budget.reserved_bytes)
 
     async def test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts(self) -> None:
         """A peer that ignores parts would run the call without its body."""
--- a/packages/pollenglade-node/src/pollenglade_node/entry/authentication.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/authentication.py
@@ -124,7 +124,7 @@
         if name != AUTHORIZATION_HEADER:
             fields += (name, value)
     head = b"\n".join(fields)
-    return [head, request.body] if request.body else [head]
+    return [head, bytes(request.body)] if request.body else [head]
 
 
 def _verify_key(
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -19,13 +19,13 @@
 from pollenglade_net.address import Address
 from pollenglade_net.attempt import Attempt
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_server import listen_backlog
 from pollenglade_net.link import PING_AFTER_IDLE_S
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
+from pollenglade_net.memory_budget import MemoryBudget
 
 CONNECT_TIMEOUT_S = 0.25
 """Time limit for opening a link.
@@ -113,12 +113,12 @@
         hello: Hello,
         serving: CallRunner,
         source_host: str | None = None,
-        body_budget: BodyBudget | None = None,
+        memory_budget: MemoryBudget | None = None,
         max_accepted_links: int = DEFAULT_MAX_ACCEPTED_LINKS,
     ) -> None:
         self._max_accepted_links = max_accepted_links
         self._hello = hello
-        self.body_budget = body_budget or BodyBudget()
+        self.memory_budget = memory_budget or MemoryBudget()
         self._serving = serving
         self._source_address = (source_host, 0) if source_host else None
         self._loop = asyncio.get_running_loop()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -17,10 +17,10 @@
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
 from pollenglade_core.policy.source_checks import SourceChecks
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
-from pollenglade_net.body_budget import BodyBudget
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.link_message import Hello
+from pollenglade_net.memory_budget import MemoryBudget
 from pollenglade_net.server_limits import ServerLimits
 
 from ..membership.links import Links
@@ -110,11 +110,11 @@
             self.request_log,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
-        body_budget = BodyBudget(settings.body_budget_bytes)
+        self.memory_budget = MemoryBudget(settings.memory_budget_bytes)
         self._links = Links(
             hello,
             self.serving,
-            body_budget=body_budget,
+            memory_budget=self.memory_budget,
             max_accepted_links=settings.max_accepted_links,
         )
         self.view = PeerView(settings.zone, random_source, settings.region_by_zone)
@@ -163,7 +163,7 @@
         self._limits = ServerLimits(
             cancel_on_eof=True, max_connections=settings.max_caller_connections
         )
-        self._server = HttpServer(self._handle, self._limits, body_budget)
+        self._server = HttpServer(self._handle, self._limits, self.memory_budget)
         self._tasks: set[asyncio.Task[None]] = set()
         self._division_timer: asyncio.TimerHandle | None = None
         self.on_quarantined: Callable[[list[CrashNotice]], None] = lambda notices: None
