Write the next response only when the caller has read the previous one

Cause: the next pipelined request was handled while output waited, so that the output of one connection had no bound, and no output was counted as memory. Closed connections with unread output stayed until their callers read it. A finished call kept what its endpoint had answered until a garbage collection.

Change: a request is handled once at most 16 KiB of output wait on its connection. Output above that is counted in the budget. Without room the connection is closed, those whose callers read nothing first. Chunks of a finished call are dropped.

Why it works: a connection holds one response at most, and the sum is bounded.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/http_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/http_cost.py
@@ -50,6 +50,13 @@
     def write(self, data: bytes) -> None:
         """Drop the data."""
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Do nothing."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return that nothing is buffered."""
+        return 0
+
     def is_closing(self) -> bool:
         """Return that the transport is open."""
         return False
--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -58,6 +58,9 @@
 FIELD_BYTES = 250
 """Approximate memory of a parsed header field in addition to its name and value."""
 
+MAX_UNSENT_BYTES = 16 * 1024
+"""Unsent output above which no further response is written."""
+
 GROWTH_BYTES = 16 * 1024
 """Least memory that is reserved together for a body whose size is not known."""
 
@@ -99,7 +102,9 @@
         self._request_bytes = 0
         self._reserved_bytes = 0
         self._received_bytes = 0
+        self._written_bytes = 0
         self._progress_bytes = 0
+        self._awaits_drain = False
         self._checks_without_progress = 0
         self._awaits_continue = False
         self._stays_open = False
@@ -130,6 +135,8 @@
             return None
         if self._is_ending:
             return 2
+        if self._awaits_drain:
+            return 4
         if self._request is not None:
             return 3
         return 1 if self._has_served else 0
@@ -139,7 +146,11 @@
         """Whether the caller may have still to read a part of a response."""
         if self._transport is None:
             return False
-        return self._is_ending or self._transport.get_write_buffer_size() > 0
+        return self._is_ending or self._unsent_bytes > 0
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     @property
     def _is_open(self) -> bool:
@@ -148,6 +159,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transports of uvloop do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         if self._limits.cancel_on_eof:
             self._disconnect_detector = DisconnectDetector(self._transport)
         self._server.track_connection(self)
@@ -181,7 +193,11 @@
 
     def resume_writing(self) -> None:
         self.writing_paused = False
-        if self._exchange is not None and self._exchange.on_drained is not None:
+        self._update_reservation()
+        if self._awaits_drain:
+            self._awaits_drain = False
+            self._await_next_request()
+        elif self._exchange is not None and self._exchange.on_drained is not None:
             self._exchange.on_drained()
 
     def data_received(self, data: bytes) -> None:
@@ -189,7 +205,7 @@
             return
         self._received_bytes += len(data)
         self._reader.receive(data)
-        if self._exchange is None:
+        if self._exchange is None and not self._awaits_drain:
             if self._request is None:
                 if self._idle_since is not None:
                     self._set_expiry(self._limits.head_timeout_s, self._on_head_timeout)
@@ -206,7 +222,7 @@
     def _reserve_pending_input(self) -> None:
         if self._update_reservation():
             return
-        if self._exchange is None:
+        if self._exchange is None and not self._awaits_drain:
             self._reject_for_memory()
             return
         # The caller may send the later requests again, as the connection closes before them.
@@ -260,7 +276,7 @@
 
     def eof_received(self) -> bool:
         self._received_eof = True
-        if self._limits.cancel_on_eof and self._exchange is not None:
+        if self._limits.cancel_on_eof and (self._exchange is not None or self._awaits_drain):
             # The connection closes only after the caller has read the buffered output.
             self._cancel_exchange()
             self._set_expiry(UNREAD_OUTPUT_TIMEOUT_S, self.abort)
@@ -269,7 +285,7 @@
             self._reader.receive_eof()
         self._process_events()
         # A caller may close its sending side and still wait for its responses.
-        return self._exchange is not None
+        return self._exchange is not None or self._awaits_drain
 
     def _process_events(self) -> None:
         """Process the bytes received so far; other callbacks run in between if they are many."""
@@ -290,7 +306,8 @@
 
     def _process_event(self) -> bool:
         """Process one event; return whether there may be another one."""
-        if self._exchange is not None or not self._is_open or self._is_ending:
+        is_busy = self._exchange is not None or self._awaits_drain
+        if is_busy or not self._is_open or self._is_ending:
             return False
         self._reader.limit_fields(self._limits.head_bytes)
         try:
@@ -342,7 +359,8 @@
         """Reserve memory for the head and the body that it announces, or reject the request."""
         self._request_bytes = self._reader.head_bytes + FIELD_BYTES * len(head.headers)
         self._body_reservation_bytes = body_memory_bytes(max(0, head.length))
-        if not self._update_reservation():
+        size = self._request_bytes + self._body_reservation_bytes
+        if size > UNCOUNTED_BYTES and not self._update_reservation():
             self._reject_for_memory()
 
     def _add_to_body(self, data: bytes) -> bool:
@@ -365,7 +383,9 @@
     def _update_reservation(self) -> bool:
         """Reserve what the connection holds now; return False if there is no memory for it."""
         size = self._request_bytes + self._body_reservation_bytes
-        if self._exchange is not None:
+        if self.writing_paused:
+            size += self._unsent_bytes
+        if self._exchange is not None or self._awaits_drain:
             size += self._reader.pending_bytes
         else:
             # Bytes that have not been read belong to the body.
@@ -379,17 +399,21 @@
         return True
 
     def check_progress(self) -> None:
-        """Note whether the caller has sent bytes since the last check."""
-        progress_bytes, self._progress_bytes = self._progress_bytes, self._received_bytes
-        if not self._reserved_bytes or self._received_bytes - progress_bytes >= MIN_PROGRESS_BYTES:
+        """Note whether the caller has sent or read bytes since the last check."""
+        previous_bytes = self._progress_bytes
+        self._progress_bytes = self._received_bytes + self._written_bytes - self._unsent_bytes
+        if not self._reserved_bytes or self._progress_bytes - previous_bytes >= MIN_PROGRESS_BYTES:
             self._checks_without_progress = 0
         else:
             self._checks_without_progress += 1
 
     def end_if_stalled(self) -> None:
-        """Reject a request that takes memory and whose caller has stopped to send it."""
-        is_stalled = self._checks_without_progress >= STALLED_CHECKS
-        if is_stalled and self._reserved_bytes and self._exchange is None:
+        """End a request or response that takes memory and whose caller makes no progress."""
+        if not self._reserved_bytes or self._checks_without_progress < STALLED_CHECKS:
+            return
+        if self.writing_paused:
+            self.abort()
+        elif self._exchange is None:
             self._reject_for_memory()
 
     def _dispatch_request(self) -> None:
@@ -437,15 +461,25 @@
 
     def write(self, data: bytes) -> None:
         """Write to the caller, or drop the data if the connection is lost."""
-        if self._transport is not None and data:
-            self._transport.write(data)
+        if self._transport is None or not data:
+            return
+        self._written_bytes += len(data)
+        self._transport.write(data)
+        if self.writing_paused and not self._update_reservation():
+            self.abort()
 
     def respond(self, status: int, fields: Headers, body: bytes) -> None:
         """Send a complete response with header fields that are valid; accept the next request."""
         close_after_response = self._server.draining or not self._stays_open
         if close_after_response:
             fields.append((b"connection", b"close"))
-        self.write(encode_message_head(status_line(status), fields) + body)
+        head = encode_message_head(status_line(status), fields)
+        if len(body) > MAX_UNSENT_BYTES:
+            # A copy would take as much memory again.
+            self.write(head)
+            self.write(body)
+        else:
+            self.write(head + body)
         self._exchange = None
         if close_after_response:
             self._close_after_response()
@@ -464,11 +498,16 @@
     def _await_next_request(self) -> None:
         if self._transport is None:
             return
-        self._has_served = True
-        self._reader.start_next()
         self._body_reservation_bytes = self._request_bytes = 0
         if self._reserved_bytes:
             self._update_reservation()
+        if self.writing_paused:
+            # The next response would take memory while this one has not been read.
+            self._awaits_drain = True
+            self._expect_reading(self._limits.idle_timeout_s)
+            return
+        self._has_served = True
+        self._reader.start_next()
         has_data = self._reader.pending_bytes > 0
         if (self._received_eof or self._discarding_input) and not has_data:
             self._close_after_response()
@@ -516,10 +555,25 @@
         self._transport.resume_reading()
         self._transport.write_eof()
 
+    def _expect_reading(self, limit_s: float | None) -> None:
+        """Abort the connection when its caller reads nothing of the output for `limit_s`."""
+        unsent_bytes = self._unsent_bytes
+
+        def abort_unless_reading() -> None:
+            if self._unsent_bytes >= unsent_bytes:
+                self.abort()
+            else:
+                self._expect_reading(limit_s)
+
+        self._set_expiry(limit_s, abort_unless_reading)
+
     def close(self) -> None:
         """Close the connection after unsent data has been written."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        self._transport.close()
+        if self._unsent_bytes:
+            self._expect_reading(UNREAD_OUTPUT_TIMEOUT_S)
 
     def abort(self) -> None:
         """Close immediately and drop unsent data."""
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -308,6 +308,57 @@
                 await asyncio.sleep(0.05)
         self.assertEqual({200, 503}, statuses)
 
+    async def test_responses_are_written_before_earlier_ones_have_been_read(self) -> None:
+        """A caller that reads slowly must not make the server hold many responses."""
+        handled = 0
+        body = bytes(200_000)
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            nonlocal handled
+            handled += 1
+            return HttpResponse(200, [], body)
+
+        server = HttpServer(async_handler(handle))
+        port = await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        self.addCleanup(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 200)
+        await asyncio.sleep(1.0)
+        self.assertLess(handled, 150)
+        received = 0
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while received < 200 * len(body):
+                received += len(await reader.read(64 * 1024))
+        self.assertEqual(200, handled)
+
+    async def test_unread_responses_keep_others_from_being_served(self) -> None:
+        """Output counts as memory; under shortage, callers that read nothing are disconnected."""
+        body = bytes(8_000_000)
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, [], body)
+
+        server = HttpServer(async_handler(handle), ServerLimits(), MemoryBudget(10_000_000))
+        port = await server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close)
+        connections = []
+        for _ in range(4):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+            self.addCleanup(writer.close)
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            connections.append(reader)
+        await asyncio.sleep(0.5)
+        self.assertLessEqual(server.memory_budget.reserved_bytes, 12_500_000)
+        self.assertLess(len(server.connections), 4)
+        client = HttpClient()
+        self.addAsyncCleanup(client.close)
+        statuses = set()
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            while 200 not in statuses:
+                response = await client.request(Address("127.0.0.1", port), "GET", "/")
+                statuses.add(response.status if isinstance(response, HttpResponse) else 0)
+
     async def test_client_timeout_cancels_the_request_at_the_server(self) -> None:
         """Work for a request whose client timed out occupies a slot and is wasted."""
         cancelled = asyncio.Event()
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -262,13 +262,9 @@
             self._fail(refusal, completed=self.is_rejected)
             return
         sink, self._sink = self._sink, None
+        body = b"".join(self._buffered_chunks)
         feedback = self._end(completed=True)
-        sink.on_response(
-            self._status,
-            end_to_end_headers(self._headers),
-            b"".join(self._buffered_chunks),
-            feedback,
-        )
+        sink.on_response(self._status, end_to_end_headers(self._headers), body, feedback)
 
     def on_failure(self, failure: HttpFailure) -> None:
         """Handle a response that is missing or incomplete."""
@@ -327,7 +323,9 @@
         return True
 
     def _end(self, completed: bool) -> Feedback:
+        # A call may stay until a garbage collection, what it has received must not.
         self._request = ENDED_REQUEST
+        self._buffered_chunks = []
         started_at = self._started_at
         target_s = 0.0 if started_at is None else monotonic() - started_at
         usage = self._nested_usage
