Bound the incomplete messages of unknown peers on a link

What callers saw: nothing known; a process could be made to run out of memory through its link port.

Cause: the decoder of each link holds an incomplete message of up to 16 MiB, also before the handshake.

Change: an incomplete message has at most 4 KiB before the handshake and 512 KiB from a node that is no member; else the link is closed. With the limit on links the sum is bounded. Links between members stay open under shortage.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/link_comparison.py
@@ -81,6 +81,10 @@
         """Reply to a query with None."""
         answer(None)
 
+    def is_member(self, link: Link) -> bool:
+        """Return that the peer is known."""
+        return True
+
     def on_link_accepted(self, link: Link) -> None:
         """Ignore the connection until its handshake."""
 
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -55,6 +55,15 @@
 """A link is closed if it receives nothing for this time after a ping."""
 
 
+MAX_HANDSHAKE_BYTES = 4 * 1024
+"""Size of an incomplete message above which a link without a handshake is closed."""
+
+MAX_STRANGER_MESSAGE_BYTES = 512 * 1024
+"""Size of an incomplete message above which a link to a node that is no member is closed.
+
+Members send larger ones; a node becomes a member by small messages."""
+
+
 class LinkOwner(Protocol):
     """Interface of the node that a link uses."""
 
@@ -72,6 +81,9 @@
     def handle_query(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
         """Handle a query from a peer; `answer` sends the reply."""
 
+    def is_member(self, link: Link) -> bool:
+        """Whether the peer of a link is a known node of the mesh."""
+
     def on_link_accepted(self, link: Link) -> None:
         """Handle a connection that a peer has opened, before its handshake."""
 
@@ -188,6 +200,7 @@
             self._streams_cancelled_in_batch = cancelled_streams(messages)
             for message in messages:
                 self._receive(message)
+            self._check_incomplete_message()
         except (
             LinkError,
             ValueError,
@@ -196,6 +209,16 @@
         ) as error:
             self.close(f"malformed message: {error}")
 
+    def _check_incomplete_message(self) -> None:
+        """Raise LinkError if an unknown peer makes this end hold a large incomplete message."""
+        size = self._decoder.undecoded_bytes
+        if size <= MAX_HANDSHAKE_BYTES:
+            return
+        if self.peer is None:
+            raise LinkError("the first message is too large")
+        if size > MAX_STRANGER_MESSAGE_BYTES and not self._owner.is_member(self):
+            raise LinkError(f"a message of {self.peer.node}, which is no member, is too large")
+
     def _receive(self, message: object) -> None:
         if not isinstance(message, list) or not message or not isinstance(message[0], int):
             raise LinkError("a message is not an array that starts with its kind")
--- a/packages/pollenglade-net/src/pollenglade_net/message_decoder.py
+++ b/packages/pollenglade-net/src/pollenglade_net/message_decoder.py
@@ -19,7 +19,8 @@
 
     def __init__(self) -> None:
         self._unpacker: msgpack.Unpacker | None = None
-        self._undecoded_bytes = 0
+        self.undecoded_bytes = 0
+        """Size of the incomplete message."""
         self._decoded_until = 0
 
     def feed(self, data: bytes) -> list[object]:
@@ -34,15 +35,15 @@
             self._decoded_until = unpacker.tell()
         unpacker.feed(data)
         messages: list[object] = []
-        received_bytes = self._undecoded_bytes + len(data)
-        self._undecoded_bytes = received_bytes
+        received_bytes = self.undecoded_bytes + len(data)
+        self.undecoded_bytes = received_bytes
         for message in unpacker:
             messages.append(message)
             # Behind an incomplete message the position is that of its part.
             decoded_until = unpacker.tell()
-            self._undecoded_bytes -= decoded_until - self._decoded_until
+            self.undecoded_bytes -= decoded_until - self._decoded_until
             self._decoded_until = decoded_until
-        if self._undecoded_bytes:
+        if self.undecoded_bytes:
             self._unpacker = unpacker
         elif received_bytes <= INITIAL_BUFFER_BYTES:
             # The buffer of a decoder that has read more may have grown, and it never shrinks.
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from time import monotonic
+from unittest.mock import Mock
 
 import msgpack
 from hypothesis import given
@@ -23,6 +24,8 @@
 from pollenglade_net.attempt import AttemptSink
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.link import MAX_HANDSHAKE_BYTES
+from pollenglade_net.link import MAX_STRANGER_MESSAGE_BYTES
 from pollenglade_net.link import PING_AFTER_IDLE_S
 from pollenglade_net.link import PONG_TIMEOUT_S
 from pollenglade_net.link import Link
@@ -100,6 +103,7 @@
     highest_version: int = HIGHEST_VERSION
     calls: list[RunningCall] = field(default_factory=list)
     links: list[Link] = field(default_factory=list)
+    knows_peer: bool = True
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
     memory_budget: MemoryBudget = field(default_factory=MemoryBudget)
@@ -117,6 +121,9 @@
     def handle_query(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
         answer([topic, payload])
 
+    def is_member(self, link: Link) -> bool:
+        return self.knows_peer
+
     def on_link_accepted(self, link: Link) -> None:
         pass
 
@@ -296,6 +303,27 @@
         link.check_liveness(now + 60.0)
         self.assertEqual(0, self.link_pair.server.memory_budget.reserved_bytes)
 
+    async def test_unknown_peers_send_large_incomplete_messages(self) -> None:
+        """Anyone may connect; only members may make a node hold a large incomplete message."""
+        await self.link_pair.connect()
+        part = b"\x92\x00\xc6\x00\xf0\x00\x00" + bytes(MAX_HANDSHAKE_BYTES)
+        hello = Hello("n9", 1, "zone-a").to_wire()
+        rest = bytes(MAX_STRANGER_MESSAGE_BYTES)
+        cases = [
+            (False, [part], True),
+            (False, [hello, part], False),
+            (False, [hello, part, rest], True),
+            (True, [hello, part, rest], False),
+        ]
+        for knows_peer, messages, is_closed in cases:
+            with self.subTest(knows_peer=knows_peer, messages=len(messages)):
+                end = LinkEnd("n1", knows_peer=knows_peer)
+                link = Link(end, is_accepted=True)
+                link.close = Mock()  # type: ignore[method-assign]
+                for message in messages:
+                    link.data_received(message)
+                self.assertEqual(is_closed, link.close.called)
+
     async def test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts(self) -> None:
         """A peer that ignores parts would run the call without its body."""
         self.link_pair.server.lowest_version = self.link_pair.server.highest_version = 1
