Check the range of a status that a peer sends over a link

What callers saw: nothing known; a status such as 000 in a message of a link would have reached them as a response.

Cause: the link checked that the status is a whole number, not its range.

Change: a response over a link whose status is not within 200 to 999 fails its call with an unknown outcome; the link stays open.

Measured: test_a_status_that_is_none_reaches_the_caller failed in all ten cases before, and passes.

--- a/packages/pollenglade-net/src/pollenglade_net/http_head.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_head.py
@@ -157,6 +157,11 @@
     return ResponseHead(status, headers, length, stays_open and length != UNTIL_CLOSE)
 
 
+def is_final_status(status: int) -> bool:
+    """Whether a number is the status of a final response."""
+    return type(status) is int and 200 <= status <= 999
+
+
 def check_trailers(block: bytes) -> None:
     """Raise ProtocolError if a complete trailer section is malformed."""
     if TRAILERS_PATTERN.fullmatch(block) is None:
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -19,6 +19,7 @@
 from .attempt import Attempt
 from .attempt import AttemptSink
 from .disconnect_detector import DisconnectDetector
+from .http_head import is_final_status
 from .http_message import HttpRequest
 from .link_call import IncomingCall
 from .link_call import OutgoingCall
@@ -329,6 +330,13 @@
         if len(message) < 6 or not isinstance(message[2], int) or not isinstance(message[4], bytes):
             raise LinkError("a response lacks its status, head or body")
         headers = unpack_headers(message[3])
+        if not is_final_status(message[2]):
+            # The caller would get it as the status of a response.
+            self.cancel_call(stream)
+            detail = f"the peer sent {message[2]!r} as the status of a response"
+            refusal = Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, None, detail)
+            call.sink.on_refusal(refusal, Feedback())
+            return
         if message[5] is True:
             del self._outgoing_call_by_stream[stream]
             feedback = unpack_feedback(message, 6)
--- a/packages/pollenglade-net/tests/test_net/test_link.py
+++ b/packages/pollenglade-net/tests/test_net/test_link.py
@@ -324,6 +324,28 @@
                     link.data_received(message)
                 self.assertEqual(is_closed, link.close.called)
 
+    async def test_a_status_that_is_none_reaches_the_caller(self) -> None:
+        """The entry node must not forward it; other calls on the link go on."""
+        link = await self.link_pair.connect()
+        statuses = (0, 7, 99, 100, 101, 199, 1000, 2000, -200, True)
+        sinks = [CollectingSink() for _ in range(2 * len(statuses) + 1)]
+        for number, sink in enumerate(sinks):
+            link.call(context(number), request(b"a"), sink)
+        await self.link_pair.wait_calls(len(sinks))
+        *calls, last = self.link_pair.server.calls
+        for status, whole, streamed in zip(statuses, calls[::2], calls[1::2], strict=True):
+            whole.sink.on_response(status, [], b"", Feedback())
+            streamed.sink.on_head(status, [])
+        last.sink.on_response(999, [], b"last", Feedback())
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            *results, last_result = [await sink.result for sink in sinks]
+            while not all(call.cancelled for call in calls[1::2]):
+                await asyncio.sleep(0.01)
+        for result in results:
+            assert isinstance(result, Refusal)
+            self.assertIs(Outcome.UNKNOWN, result.outcome)
+        self.assertEqual(b"last", last_result)
+
     async def test_body_of_a_peer_of_an_earlier_release_is_sent_in_parts(self) -> None:
         """A peer that ignores parts would run the call without its body."""
         self.link_pair.server.lowest_version = self.link_pair.server.highest_version = 1
--- a/tests/test_system/test_whole_answers.py
+++ b/tests/test_system/test_whole_answers.py
@@ -20,7 +20,7 @@
 
 CALLERS = 12
 CALLS = 25
-CONDUCTS = ("whole", "late", "chunked", "large", "truncated", "cut-chunks", "extra")
+CONDUCTS = ("whole", "late", "chunked", "large", "truncated", "cut-chunks", "extra", "status-000")
 COMPLETE_CONDUCTS = {"whole", "late", "chunked", "large", "extra"}
 MAX_DELAY_S = 0.4
 SILENT_S = 2.5
@@ -46,7 +46,7 @@
     `whole`, `large` and paths without a conduct get a complete response, `late` one after a random
     delay, and `silent` one after `SILENT_S`. `chunked` sends two chunks; `cut-chunks` closes the
     connection after the first. `truncated` closes it after half of the response. `extra` sends a
-    second response without a request.
+    second response without a request. `status-000` sends a status that is none.
     """
     path = request.target.decode()
     conduct = path.split("/")[2] if path.count("/") > 2 else "whole"
@@ -71,6 +71,8 @@
             writer.write(whole[: len(whole) // 2])
             await asyncio.sleep(0.01)
             writer.close()
+        case "status-000":
+            writer.write(ok_response(body).replace(b" 200 ", b" 000 ", 1))
         case "extra":
             # A second response although the connection has no second request.
             writer.write(ok_response(body) + ok_response(b"of nobody"))
