Share one memory budget between all ports of the daemon, and drop sent bodies

What callers saw: nothing; by reading, the budgets of three ports of pollenglade-node added up, and the body of a call that had waited for its link stayed until a garbage collection after it had been sent.

Cause: each server and the links made a budget of their own; an attempt that waits for a link kept its request.

Change: one budget for all ports of the process; the request is given away when it is sent.

--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -76,15 +76,20 @@
 class _PendingAttempt:
     """An attempt that waits for its link to open."""
 
-    __slots__ = ("attempt", "cancelled", "context", "request", "sink")
+    __slots__ = ("_request", "attempt", "cancelled", "context", "sink")
 
     def __init__(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> None:
         self.context = context
-        self.request = request
+        self._request = request
         self.sink = sink
         self.attempt: Attempt | None = None
         self.cancelled = False
 
+    def take_request(self) -> HttpRequest:
+        """Return the request, whose body would otherwise stay until a garbage collection."""
+        request, self._request = self._request, HttpRequest("", b"", [])
+        return request
+
     def cancel(self) -> None:
         self.cancelled = True
         if self.attempt is not None:
@@ -241,10 +246,11 @@
         link = await self._connect(node)
         pending = self._pending_attempts_by_node.pop(node, [])
         for call in pending:
+            request = call.take_request()
             if call.cancelled:
                 continue
             if link is not None and link.is_open:
-                call.attempt = link.call(call.context, call.request, call.sink)
+                call.attempt = link.call(call.context, request, call.sink)
                 continue
             refusal = Refusal(Reason.LINK_FAILED, Outcome.NOT_RUN, 0.5, f"no link to {node}")
             call.sink.on_refusal(refusal, Feedback(call.context.allowance.remaining))
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -37,6 +37,7 @@
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_server import HttpServer
 from pollenglade_net.link_message import Hello
+from pollenglade_net.memory_budget import MemoryBudget
 from pollenglade_net.platform_client import PlatformClient
 from pollenglade_net.server_limits import ServerLimits
 
@@ -129,7 +130,8 @@
             self.ledger,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
-        self.links = Links(hello, self.serving, settings.source_host)
+        memory_budget = MemoryBudget()
+        self.links = Links(hello, self.serving, settings.source_host, memory_budget)
         self.gossip = Gossip(_local_member(settings, incarnation), self._peer_client, random_source)
         self.fleet = Fleet(self.gossip)
         self.presence = Presence(self._platform, lambda: self.fleet.local_member, random_source)
@@ -179,9 +181,13 @@
             self.entry,
             self.configuration,
         )
-        self._caller_server = HttpServer(self.entry.handle, ServerLimits(cancel_on_eof=True))
+        self._caller_server = HttpServer(
+            self.entry.handle, ServerLimits(cancel_on_eof=True), memory_budget
+        )
         self._control = ControlApi()
-        self._control_server = HttpServer(async_handler(self._control.handle))
+        self._control_server = HttpServer(
+            async_handler(self._control.handle), memory_budget=memory_budget
+        )
         self._connect_components()
 
     def _metrics_sources(self) -> MetricSources:
