Close the connections that were used last only after idle ones

Cause: connections were ranked by whether they had served a request, then by their age. Progress was counted from the reservation of the request, not from the start of the output. A half-closed caller had 5 s for all of its output.

Change: idle connections are closed in the order in which they became idle, those with unsent output last. Progress counts from the start of the request and of the output anew. A half-closed caller is disconnected when it reads nothing for 5 s.

--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -45,8 +45,8 @@
 """Part of the connections that are closed together for new ones, as their search takes time."""
 
 UNREAD_OUTPUT_TIMEOUT_S = 5.0
-"""Time within which a caller that has closed its sending side must read the buffered output;
-endpoints abort a response that stays unread for about as long."""
+"""Time within which a caller must read something of the last output on its connection; endpoints
+abort a response that stays unread for about as long."""
 
 REJECTION_LINGER_S = 1.0
 """Time for which the rest of a rejected request is read and discarded."""
@@ -133,14 +133,19 @@
         """
         if self._exchange is not None:
             return None
+        if self._unsent_bytes:
+            return 4
         if self._is_ending:
             return 2
-        if self._awaits_drain:
-            return 4
         if self._request is not None:
             return 3
         return 1 if self._has_served else 0
 
+    @property
+    def idle_since(self) -> float:
+        """When the connection became idle, in monotonic time; 0 if it is not."""
+        return self._idle_since or 0.0
+
     @property
     def has_unsent_output(self) -> bool:
         """Whether the caller may have still to read a part of a response."""
@@ -190,6 +195,8 @@
 
     def pause_writing(self) -> None:
         self.writing_paused = True
+        # The caller could make no progress while its request was processed.
+        self._checks_without_progress = 0
 
     def resume_writing(self) -> None:
         self.writing_paused = False
@@ -279,7 +286,7 @@
         if self._limits.cancel_on_eof and (self._exchange is not None or self._awaits_drain):
             # The connection closes only after the caller has read the buffered output.
             self._cancel_exchange()
-            self._set_expiry(UNREAD_OUTPUT_TIMEOUT_S, self.abort)
+            self._expect_reading(UNREAD_OUTPUT_TIMEOUT_S)
             return False
         if not self._discarding_input:
             self._reader.receive_eof()
@@ -357,6 +364,7 @@
 
     def _reserve_request(self, head: RequestHead) -> None:
         """Reserve memory for the head and the body that it announces, or reject the request."""
+        self._checks_without_progress = 0
         self._request_bytes = self._reader.head_bytes + FIELD_BYTES * len(head.headers)
         self._body_reservation_bytes = body_memory_bytes(max(0, head.length))
         size = self._request_bytes + self._body_reservation_bytes
@@ -628,13 +636,13 @@
     def _make_room(self) -> bool:
         """Close connections without a request in progress; return whether there were any."""
         ranked = [
-            (rank, connection)
+            (rank, connection.idle_since, connection)
             for connection in self.connections
             if (rank := connection.replacement_rank) is not None
         ]
-        ranked.sort(key=lambda item: item[0])
+        ranked.sort(key=lambda item: item[:2])
         count = max(1, int(self.limits.max_connections * MIN_REPLACED_FRACTION))
-        for _, connection in ranked[:count]:
+        for _, _, connection in ranked[:count]:
             del self.connections[connection]
             connection.abort()
         return bool(ranked)
--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -250,6 +250,25 @@
         (failure,) = [item for item in responses if isinstance(item, HttpFailure)]
         self.assertIs(FailureReason.CLOSED, failure.reason)
 
+    async def test_a_connection_in_use_is_closed_before_an_idle_one(self) -> None:
+        """At the limit, callers that use their connections keep them."""
+        server = HttpServer(async_handler(echo), ServerLimits(max_connections=2))
+        self.addAsyncCleanup(server.close)
+        port = await server.start("127.0.0.1", 0)
+        connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            for number in (0, 1, 0):
+                reader, writer = connections[number]
+                writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                await reader.readuntil(b"/|")
+            _, newest = await asyncio.open_connection("127.0.0.1", port)
+            self.assertEqual(b"", await connections[1][0].read())
+            reader, writer = connections[0]
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readuntil(b"/|")
+        for writer in (newest, *(writer for _, writer in connections)):
+            writer.close()
+
     async def test_the_time_for_a_head_begins_again_with_each_byte(self) -> None:
         """A caller that sends its head byte by byte keeps its connection for ever."""
         server = HttpServer(async_handler(echo), ServerLimits(head_timeout_s=0.5))
