Split the connection of the HTTP server from the server

Cause: http_server.py had grown to 683 lines with two jobs: what one connection does, and listening with the limits on all of them.

Change: ServerConnection moves to server_connection.py, with the interface of the server that it uses; nothing else changes.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/http_cost.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/http_cost.py
@@ -22,7 +22,7 @@
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import encode_message_head
 from pollenglade_net.http_server import HttpServer
-from pollenglade_net.http_server import ServerConnection
+from pollenglade_net.server_connection import ServerConnection
 
 TARGET = b"/applications/17?view=short"
 REQUEST_HEADERS: Headers = [
--- a/packages/pollenglade-net/src/pollenglade_net/async_handler.py
+++ b/packages/pollenglade-net/src/pollenglade_net/async_handler.py
@@ -9,7 +9,7 @@
 from .exchange import Exchange
 from .http_message import HttpRequest
 from .http_message import HttpResponse
-from .http_server import Handler
+from .server_connection import Handler
 
 AsyncHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
