Accept a late nested request during a stop only if it ends in time

Callers saw: a run at the endpoint beside a stopping node made a call 3.2 s after the SIGTERM.

Cause: requests of runs at the local endpoint were exempt from all limits of a stop, and their deadline could lie after the end of the process. At 0.8 s before the kill the node ends whatever is open.

Change: StopWindow decides for requests of clients and of runs. A late nested request is accepted if its deadline or twice its usual time lies before the end, and its endpoint gets no more time than the process has, so that it ends the request with its own response. requests_interrupted names the requests. It works because nothing that is accepted late can be open at the end by the node's choice.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -5,10 +5,12 @@
 import random
 from collections.abc import Mapping
 from hashlib import blake2b
-from math import inf
+from itertools import islice
 from time import monotonic
+from typing import Any
 
 from pollenglade_core.admission.quarantine import CrashLedger
+from pollenglade_core.admission.stop_window import StopWindow
 from pollenglade_core.calls.call import CallContext
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
@@ -48,9 +50,6 @@
 FRAMING_FIELDS = frozenset({b"content-length", b"expect"})
 """Header fields that the node generates for each hop instead of forwarding them."""
 
-STOP_RESERVE = 2.0
-"""Multiple of the usual time of a request that must be left before the process ends."""
-
 ROUTE_PRIORITY_COUNT = 16
 """Number of route priorities within one organisation priority."""
 
@@ -115,7 +114,7 @@
         self._tree_admission = TreeAdmission()
         self._dropped_fields = names.not_forwarded | FRAMING_FIELDS
         self._open_calls: set[MeshCall] = set()
-        self._refuses_from = self._closes_at = inf
+        self._stop_window: StopWindow | None = None
         self.policy: TrafficPolicy | None = None
 
     @property
@@ -157,22 +156,38 @@
         """Refuse new requests from `after_s` seconds on, as the process ends in `ends_in_s`.
 
         Until then only those are accepted that usually finish before the end. Requests that runs of
-        the local endpoint make are always accepted, because the runs fail without them.
+        the local endpoint make are accepted later too, if they end in time.
         """
         now = monotonic()
-        self._refuses_from, self._closes_at = now + after_s, now + ends_in_s
+        self._stop_window = StopWindow(now + after_s, now + ends_in_s)
+
+    def describe_open_requests(self, limit: int) -> list[dict[str, Any]]:
+        """Return id, stage and age in seconds of up to `limit` requests without a response."""
+        now = monotonic()
+        return [
+            {
+                "request_id": call.request_id,
+                "stage": call.stage.value,
+                "age_s": round(now - call.started_at, 3),
+            }
+            for call in islice(self._open_calls, limit)
+        ]
 
     def end_open_requests(self) -> None:
         """Respond to all open requests, as the process is about to end."""
         for call in list(self._open_calls):
             call.on_node_stops()
 
-    def _is_too_late(self, call: MeshCall, now: float) -> bool:
-        """Whether a request might be interrupted by the end of the process."""
-        if self._closes_at == inf or call.parent is not None:
+    def _accepts_while_stopping(self, call: MeshCall, window: StopWindow, now: float) -> bool:
+        """Whether a request finishes before the end of the process; limit a late one to that."""
+        usual_s = self._tree_admission.residence_s(call.route.name)
+        if call.parent is None:
+            return window.accepts(now, usual_s)
+        if not window.accepts_nested(now, usual_s, call.deadline):
             return False
-        residence_s = self._tree_admission.residence_s(call.route.name) or 0.0
-        return now >= min(self._refuses_from, self._closes_at - STOP_RESERVE * residence_s)
+        if window.is_late(now):
+            call.context.deadline = window.endpoint_deadline(call.deadline)
+        return True
 
     def handle(self, exchange: Exchange) -> None:
         """Handle one complete request."""
@@ -276,7 +291,8 @@
         return digest.hexdigest()
 
     def _admit(self, call: MeshCall, now: float) -> None:
-        if self._is_too_late(call, now):
+        window = self._stop_window
+        if window is not None and not self._accepts_while_stopping(call, window, now):
             call.refuse(NODE_STOPS)
             return
         if call.nested and self._serving.is_run_aborted(call.declared_parent_id):
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -73,6 +73,9 @@
 """Time in seconds after a crash in which requests that were in flight elsewhere complete and are
 cleared of it."""
 
+MAX_LOGGED_REQUESTS = 8
+"""Requests that the log names when the end of the process interrupts them."""
+
 DRAIN_POLL_INTERVAL_S = 0.05
 """Time in seconds between checks for running work during the drain."""
 
@@ -385,7 +388,11 @@
         while monotonic() - started_at < limit_s and self._has_unfinished_work():
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         if self._entry.is_busy:
-            log.warning("requests_interrupted", open=self._entry.open_request_count)
+            log.warning(
+                "requests_interrupted",
+                open=self._entry.open_request_count,
+                first=self._entry.describe_open_requests(MAX_LOGGED_REQUESTS),
+            )
             self._entry.end_open_requests()
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
