Learn call trees by route and service, and forget where no route leads

Cause: trees were learnt by route alone. The former service stayed in the tree with ever fewer calls, a service without usable endpoints refuses the whole tree, and nothing new is learnt while nothing is served. The store kept the tree.

Change: RouteTrees keeps trees by route and service, drops on a new policy what no route leads to, and starts 5 % of the trees as trials where a service has no endpoint; one that is served without it removes the service. This works because each way in which a tree can be outdated (moved, split, nested call moved, endpoints changed) now ends by the policy or by a trial.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import exp
@@ -69,6 +70,12 @@
 They show when the service has recovered, and some of them finish thanks to the retry budget.
 """
 
+UNREACHABLE_TRIAL_FRACTION = 0.05
+"""Fraction of the trees that are started as trials although a service has no usable endpoint.
+
+They show whether the requests of the route still need the service.
+"""
+
 RESIDENCE_WEIGHT = 0.05
 """Weight of one finished request in the mean residence time, the time of a tree without waiting."""
 
@@ -200,6 +207,7 @@
         self._averages_by_service: dict[str, tuple[_SlotAverages, ...]] = {}
         self._route_demand_by_service: dict[str, RouteDemand] = {}
         self._tree_by_request: dict[str, tuple[int, Mapping[str, float]]] = {}
+        self._unreachable_by_route: dict[str, set[str]] = {}
 
     def use_by_service(self, now: float) -> dict[str, SlotUse]:
         """Return the average slot use of this node by service, as reported to other nodes."""
@@ -269,6 +277,16 @@
         """Set the residence time that other nodes have learnt, unless this node has its own."""
         self._residence_s_by_route.setdefault(route, residence_s)
 
+    def retain(self, routes: Collection[str]) -> None:
+        """Forget the residence times of all other routes."""
+        for route in self._residence_s_by_route.keys() - set(routes):
+            del self._residence_s_by_route[route]
+            self._unreachable_by_route.pop(route, None)
+
+    def take_unreachable(self, route: str) -> set[str]:
+        """Return the services without usable endpoints that checks of a route found since."""
+        return self._unreachable_by_route.pop(route, set())
+
     def check(
         self,
         route: str,
@@ -298,7 +316,10 @@
             route_demand.add(route, index, slot_s, now)
             slots = load.slots(service)
             if slots <= 0.0:
-                if load.exists(service):
+                if not load.exists(service):
+                    continue
+                self._unreachable_by_route.setdefault(route, set()).add(service)
+                if random_value >= UNREACHABLE_TRIAL_FRACTION:
                     retry_after_s = self._retry_after_s(route, 1.0, 0.0) * _jitter(random_value)
                     return TreeRefusal(service, 0.0, 0.0, 0.0, 0.0, retry_after_s)
                 continue
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_cost.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -62,6 +63,18 @@
         """Set the usage of a route that other nodes have learnt, unless this node has its own."""
         self._usage_by_service_by_route.setdefault(route, dict(usage))
 
+    def forget(self, route: str, service: str) -> None:
+        """Remove a service that the requests of a route do not need."""
+        self._usage_by_service_by_route.get(route, {}).pop(service, None)
+
+    def retain(self, routes: Collection[str], services: Collection[str]) -> None:
+        """Forget all other routes, and all other services of these routes."""
+        self._usage_by_service_by_route = {
+            route: {service: item for service, item in usage.items() if service in services}
+            for route, usage in self._usage_by_service_by_route.items()
+            if route in routes
+        }
+
     @property
     def routes(self) -> tuple[str, ...]:
         """Routes with a known usage."""
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/entry.py
@@ -15,14 +15,13 @@
 from pollenglade_core.calls.outcome import Outcome
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
-from pollenglade_core.dispatch.learnt_trees import LearntTree
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.peer_view import PeerView
 from pollenglade_core.dispatch.placement import Placement
 from pollenglade_core.dispatch.retry_budget import ServiceRetryBudgets
+from pollenglade_core.dispatch.route_trees import RouteTrees
 from pollenglade_core.dispatch.slot_use import SlotUse
 from pollenglade_core.dispatch.tree_admission import TreeAdmission
-from pollenglade_core.dispatch.tree_cost import TreeCosts
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
 from pollenglade_core.policy.traffic_policy import TrafficPolicy
@@ -110,8 +109,8 @@
         self._request_log = request_log
         self._random_source = random_source
         self._weighted_split = WeightedSplit(random_source)
-        self._tree_costs = TreeCosts()
         self._tree_admission = TreeAdmission()
+        self.trees = RouteTrees(self._tree_admission)
         self._dropped_fields = names.not_forwarded | FRAMING_FIELDS
         self._open_calls: set[MeshCall] = set()
         self._stop_window: StopWindow | None = None
@@ -122,25 +121,10 @@
         """Average slots that the requests of this node occupy and demand, by service."""
         return self._tree_admission.use_by_service(monotonic())
 
-    @property
-    def has_learnt_trees(self) -> bool:
-        """Whether `learnt_trees` has any, without collecting them."""
-        admission = self._tree_admission
-        return any(admission.residence_s(route) is not None for route in self._tree_costs.routes)
-
-    def learnt_trees(self) -> dict[str, LearntTree]:
-        """Return the learnt usage and residence time of call trees, by route."""
-        return {
-            route: LearntTree(residence_s, self._tree_costs.mean_usage(route))
-            for route in self._tree_costs.routes
-            if (residence_s := self._tree_admission.residence_s(route)) is not None
-        }
-
-    def restore_trees(self, trees: Mapping[str, LearntTree]) -> None:
-        """Add call trees learnt by other nodes; trees learnt by this node take precedence."""
-        for route, tree in trees.items():
-            self._tree_costs.restore(route, tree.usage)
-            self._tree_admission.restore(route, tree.residence_s)
+    def apply_policy(self, policy: TrafficPolicy) -> None:
+        """Handle further requests by a policy, and forget what no longer applies under it."""
+        self.policy = policy
+        self.trees.apply_policy(policy)
 
     @property
     def open_request_count(self) -> int:
@@ -180,7 +164,7 @@
 
     def _accepts_while_stopping(self, call: MeshCall, window: StopWindow, now: float) -> bool:
         """Whether a request finishes before the end of the process; limit a late one to that."""
-        usual_s = self._tree_admission.residence_s(call.route.name)
+        usual_s = self.trees.residence_s(call.tree_key)
         if call.parent is None:
             return window.accepts(now, usual_s)
         if not window.accepts_nested(now, usual_s, call.deadline):
@@ -325,9 +309,9 @@
             return None
         route = call.route
         load = PeerViewLoad(self._view, self.policy, now)
-        usage = self._tree_costs.mean_usage(route.name)
+        usage = self.trees.usage(call.tree_key)
         refusal = self._tree_admission.check(
-            route.name,
+            call.tree_key,
             route.priority,
             usage,
             load,
@@ -357,10 +341,9 @@
 
     def _start(self, call: MeshCall) -> None:
         if not call.nested:
-            route = call.route
-            usage = self._tree_costs.mean_usage(route.name)
+            usage = self.trees.usage(call.tree_key)
             self._tree_admission.begin(
-                call.request_id, route.name, route.priority, usage, monotonic()
+                call.request_id, call.tree_key, call.route.priority, usage, monotonic()
             )
         call.start()
 
@@ -382,9 +365,7 @@
 
         Returns False and debits nothing if one of the budgets is too low.
         """
-        calls = {
-            name: item.calls for name, item in self._tree_costs.mean_usage(call.route.name).items()
-        }
+        calls = {name: item.calls for name, item in self.trees.usage(call.tree_key).items()}
         calls[call.service] = max(1.0, calls.get(call.service, 1.0))
         return self._retry_budgets.try_debit(calls, monotonic())
 
@@ -400,9 +381,7 @@
         if not call.nested:
             self._tree_admission.end(call.request_id, monotonic())
         if result.usage and result.status < 400:
-            self._tree_costs.learn(call.route.name, result.usage)
-            residence_s = monotonic() - call.started_at
-            self._tree_admission.learn(call.route.name, residence_s, result.usage)
+            self.trees.learn(call.tree_key, monotonic() - call.started_at, result.usage)
         if call.parent is not None:
             call.parent.end_nested(call, result.usage, failed=not 0 < result.status < 400)
         self._request_log.on_finished(call, result)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_call.py
@@ -16,6 +16,7 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.dispatch.peer_view import Peer
 from pollenglade_core.dispatch.placement import Placement
+from pollenglade_core.dispatch.route_trees import tree_key
 from pollenglade_core.dispatch.tree_cost import Usage
 from pollenglade_core.policy.traffic_policy import Organisation
 from pollenglade_core.policy.traffic_policy import Route
@@ -109,6 +110,7 @@
         self.route = route
         self.placement = placement
         self.service = placement.service
+        self.tree_key = tree_key(route.name, placement.service)
         self.organisation = organisation
         self.rank = rank
         self.deadline = deadline
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -153,7 +153,7 @@
             self.request_log,
             random_source,
         )
-        self.trees = TreeExchange(self._entry, self._links)
+        self.trees = TreeExchange(self._entry.trees, self._links)
         self.evacuation = EvacuationExchange(
             settings.zone,
             frozenset(settings.region_by_zone),
@@ -226,7 +226,7 @@
     def _on_policy_changed(self, policy: TrafficPolicy) -> None:
         if self._entry.policy is None:
             self.departures.limit_wait()
-        self._entry.policy = policy
+        self._entry.apply_policy(policy)
         limits = policy.limits
         self._limits.head_bytes = limits.head_bytes
         self._limits.body_bytes = limits.body_bytes
