Let the failure rate of an endpoint fall while it gets no requests

Cause: the failure rate of an endpoint changed only with a result. Endpoints that failed last in the slow phase were not chosen any more, the mean of the service stayed high, and trees with five calls were refused but for trials, which went to another endpoint. Metrics of all nodes show it: 0.611 and 0.483 without change for 30 s at two of three endpoints, 0 at the third.

Change: the rate holds for 1 s after a result and falls to 0 in the next 3 s. This works because the refusals rest on the mean of the reported rates, which now ends without a served request; an endpoint that still fails raises it again.

--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -14,6 +14,9 @@
 An endpoint may state its pace, which changes faster than an average of measured times. The average
 is then kept of the time at the usual pace, and the expected time is this average times the pace.
 
+The failure rate comes from requests that the endpoint has served. Callers avoid an endpoint with a
+high rate, so it falls when no request has renewed it for a while.
+
 A request that must not wait is rejected unless it can start at once. Nodes place requests by load
 reports that are old, and another endpoint may have a free slot.
 """
@@ -42,6 +45,12 @@
 The rate must fall soon after an endpoint recovers, even if few requests are sent to it.
 """
 
+FAILURE_VALIDITY_S = 1.0
+"""Time in seconds after a result for which the failure rate stays as it is."""
+
+FAILURE_DECAY_S = 3.0
+"""Time in seconds without results within which the failure rate falls to 0 after that."""
+
 MIN_FAILURE_WEIGHT = 0.02
 """Lower bound on the weight of one result in the failure rate."""
 
@@ -148,17 +157,18 @@
         if self.pace is not None and now > self._pace_at + PACE_VALIDITY_S:
             self.pace = 1.0
 
-    @property
-    def failure_rate(self) -> float:
-        """Fraction of recent requests that the endpoint rejected or did not answer."""
-        return self._failure_rate
+    def failure_rate(self, now: float) -> float:
+        """Return the fraction of recent requests that the endpoint rejected or did not answer."""
+        age_s = now - self._failure_rate_at - FAILURE_VALIDITY_S
+        return self._failure_rate * min(1.0, max(0.0, 1.0 - age_s / FAILURE_DECAY_S))
 
     def record_result(self, failed: bool, now: float) -> None:
         """Update the failure rate with the result of a request."""
+        rate = self.failure_rate(now)
         age_s = max(0.0, now - self._failure_rate_at)
         self._failure_rate_at = now
         weight = min(MAX_FAILURE_WEIGHT, max(MIN_FAILURE_WEIGHT, age_s / FAILURE_TIME_CONSTANT_S))
-        self._failure_rate += ((1.0 if failed else 0.0) - self._failure_rate) * weight
+        self._failure_rate = rate + ((1.0 if failed else 0.0) - rate) * weight
 
     @property
     def rate_limit(self) -> float | None:
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -98,10 +98,21 @@
         queue = EndpointQueue(5)
         for step in range(400):
             queue.record_result(step % 20 < 11, step * 0.01)
-        self.assertAlmostEqual(queue.failure_rate, 0.55, delta=0.25)
+        self.assertAlmostEqual(queue.failure_rate(4.0), 0.55, delta=0.25)
         for step in range(15):
             queue.record_result(False, 4.0 + step * 0.1)
-        self.assertLess(queue.failure_rate, 0.1)
+        self.assertLess(queue.failure_rate(5.5), 0.1)
+
+    def test_an_endpoint_that_gets_no_requests_has_failed_for_ever(self) -> None:
+        """Callers refused the trees that need its service, so it got no request that succeeded."""
+        queue = EndpointQueue(5)
+        for step in range(40):
+            queue.record_result(True, step * 0.1)
+        self.assertGreater(queue.failure_rate(3.9), 0.9)
+        self.assertGreater(queue.failure_rate(4.9), 0.9)
+        self.assertEqual(queue.failure_rate(8.0), 0.0)
+        queue.record_result(False, 8.0)
+        self.assertEqual(queue.failure_rate(8.0), 0.0)
 
 
 class RateLimitedQueueTest(unittest.TestCase):
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -155,14 +155,14 @@
         seconds are a moving average of the time that a request takes at the endpoint, without its
         time in the queue.
         """
-        queue = self._queue
-        queue.update_pace(monotonic())
+        queue, now = self._queue, monotonic()
+        queue.update_pace(now)
         return EndpointLoad(
             queue.running,
             queue.waiting,
             queue.limit,
             round(queue.expected_s, 5),
-            round(queue.failure_rate, 3),
+            round(queue.failure_rate(now), 3),
             queue.rate_limit,
             None if queue.pace is None else round(queue.pace, 2),
         )
