Let an idle endpoint measure its time again after a slow phase

Cause: a request is rejected if less than half of the expected time is left, and only a request that was served changed that time.

Change: an idle endpoint without a measurement for 1 s takes such a request, and a measurement weighs up to 0.5 after a long time without any. This works because each second of refusals now yields a measurement, which counts; a busy endpoint rejects as before.

Measured: a test that plays the slow phase and 100 short requests in 10 s had 0 served before and has more than 50 now; a measurement after 20 s moved the expected time from 0.6 to 0.57 s before, below 0.35 s now.

--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -14,8 +14,9 @@
 An endpoint may state its pace, which changes faster than an average of measured times. The average
 is then kept of the time at the usual pace, and the expected time is this average times the pace.
 
-The failure rate comes from requests that the endpoint has served. Callers avoid an endpoint with a
-high rate, so it falls when no request has renewed it for a while.
+Both the failure rate and the expected time come from requests that the endpoint has served. Callers
+and this queue avoid an endpoint with poor values, so these lose their effect when no request has
+renewed them for a while.
 
 A request that must not wait is rejected unless it can start at once. Nodes place requests by load
 reports that are old, and another endpoint may have a free slot.
@@ -37,7 +38,17 @@
 """Expected time at the endpoint in seconds before the first measurement."""
 
 EXPECTED_WEIGHT = 0.05
-"""Weight of a new measurement in the moving average of the time at the endpoint."""
+"""Least weight of a new measurement in the moving average of the time at the endpoint."""
+
+MAX_EXPECTED_WEIGHT = 0.5
+"""Largest weight of a new measurement, which it has after a long time without any."""
+
+EXPECTED_TIME_CONSTANT_S = 10.0
+"""Time constant in seconds of the moving average where measurements are rare."""
+
+EXPECTED_VALIDITY_S = 1.0
+"""Time in seconds after the last measurement for which an idle endpoint rejects requests that have
+less than the expected time left."""
 
 FAILURE_TIME_CONSTANT_S = 0.7
 """Time constant in seconds of the failure rate.
@@ -123,6 +134,7 @@
         self._heap: list[tuple[int, bool, float, int, QueuedRequest]] = []
         self._serial = 0
         self._usual_s = INITIAL_EXPECTED_S
+        self._measured_at: float | None = None
         self.pace: float | None = None
         self._pace_at = 0.0
         self._failure_rate = 0.0
@@ -234,10 +246,15 @@
         """Free the slot of a completed request and update the expected time."""
         started_at = self._started_at_by_id.pop(request_id, None)
         if started_at is not None:
-            usual_s = (now - started_at) / (self.pace or 1.0)
-            self._usual_s += (usual_s - self._usual_s) * EXPECTED_WEIGHT
+            self._measure((now - started_at) / (self.pace or 1.0), now)
         return self._start_waiting(now)
 
+    def _measure(self, usual_s: float, now: float) -> None:
+        age_s = 0.0 if self._measured_at is None else now - self._measured_at
+        weight = min(MAX_EXPECTED_WEIGHT, max(EXPECTED_WEIGHT, age_s / EXPECTED_TIME_CONSTANT_S))
+        self._usual_s += (usual_s - self._usual_s) * weight
+        self._measured_at = now
+
     def cancel(self, request_id: str, now: float) -> list[QueueAction]:
         """Remove a waiting or running request that was cancelled."""
         self._started_at_by_id.pop(request_id, None)
@@ -311,7 +328,14 @@
         return request.deadline - self.expected_s * MIN_REMAINING_FRACTION
 
     def _is_late(self, request: QueuedRequest, now: float) -> bool:
-        return now > self._latest_start(request)
+        if now <= self._latest_start(request):
+            return False
+        is_measured = (
+            self._measured_at is not None and now < self._measured_at + EXPECTED_VALIDITY_S
+        )
+        if self.running or is_measured:
+            return True
+        return now > request.deadline - INITIAL_EXPECTED_S * MIN_REMAINING_FRACTION
 
     def _compact(self) -> None:
         if len(self._heap) > 2 * len(self._waiting_by_id) + 16:
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_queue.py
@@ -114,6 +114,34 @@
         queue.record_result(False, 8.0)
         self.assertEqual(queue.failure_rate(8.0), 0.0)
 
+    def test_an_idle_endpoint_rejects_short_requests_after_a_slow_phase_for_ever(self) -> None:
+        """All requests got 503, as only a request that was served could change the expected time.
+
+        Longer requests were slow for a while; afterwards only requests with 1.2 s left arrive.
+        """
+        queue = EndpointQueue(5)
+        for step in range(60):
+            queue.offer(make_request(f"slow{step}", deadline=999.0), step * 4.0)
+            queue.finish(f"slow{step}", step * 4.0 + 3.0)
+        served = 0
+        for step in range(100):
+            now = 240.0 + step * 0.1
+            request = make_request(f"short{step}", deadline=now + 1.2)
+            if queue.offer(request, now) == [StartRequest(request.request_id)]:
+                queue.finish(request.request_id, now + 0.05)
+                served += 1
+        self.assertGreater(served, 50)
+
+    def test_a_measurement_after_a_long_time_hardly_changes_the_expected_time(self) -> None:
+        queue = EndpointQueue(5)
+        for step in range(100):
+            queue.offer(make_request(f"slow{step}", deadline=999.0), step * 1.0)
+            queue.finish(f"slow{step}", step * 1.0 + 0.6)
+        self.assertAlmostEqual(queue.expected_s, 0.6, delta=0.05)
+        queue.offer(make_request("fast", deadline=999.0), 120.0)
+        queue.finish("fast", 120.05)
+        self.assertLess(queue.expected_s, 0.35)
+
 
 class RateLimitedQueueTest(unittest.TestCase):
     """One endpoint with 95 usable slots that takes two requests a second."""
