Join the parts of a response body as they arrive

Cause: each chunk was an event of its own. It was kept as an object in a list, 43 bytes for two bytes of body, up to the limit on the bytes of the body; beyond that each became a message on the link.

Change: a connection hands on what it has read of a body in one turn as one part, and buffers keep one array (BodyBuffer).

--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 from .address import Address
+from .body_buffer import BodyBuffer
 from .http_head import ProtocolError
 from .http_head import ResponseHead
 from .http_head import check_request
@@ -84,6 +85,7 @@
         self._interim_responses = 0
         self._discarded_responses = 0
         self._discarded_bytes = 0
+        self._undelivered_body = BodyBuffer()
         self._sink_paused = False
         self._reading_paused = False
         self._continuation: asyncio.Handle | None = None
@@ -121,6 +123,7 @@
             self._reader.receive_eof()
             while self._process_event():
                 pass
+        self._deliver_body()
         detail = str(self._loss or "connection closed by the server")
         self._fail_response(FailureReason.CLOSED, detail)
 
@@ -189,7 +192,9 @@
         """Process the bytes received so far; other callbacks run in between if they are many."""
         for _ in range(MAX_EVENTS_PER_TURN):
             if not self._process_event():
+                self._deliver_body()
                 return
+        self._deliver_body()
         self._continuation = asyncio.get_running_loop().call_soon(self._continue)
         self._update_reading()
 
@@ -209,20 +214,23 @@
         try:
             event = self._reader.next_event()
         except ProtocolError as error:
+            self._deliver_body()
             self._fail_response(FailureReason.PROTOCOL, str(error))
             return False
         if event is None:
             return False
         if not isinstance(event, ResponseHead):
             if event:
-                self._on_body(event, sink)
+                self._on_body(event)
         elif event.status < 200:
             self._on_interim_response()
         else:
             self._on_response_head(event, sink)
-        # The sink may have cancelled the request.
-        if self._sink is not None and self._reader.is_message_complete:
-            self._on_response_end()
+        if self._reader.is_message_complete:
+            self._deliver_body()
+            # The sink may have cancelled the request.
+            if self._sink is not None:
+                self._on_response_end()
         return True
 
     def _on_interim_response(self) -> None:
@@ -242,9 +250,14 @@
         if self._discarded_responses > MAX_DISCARDED_RESPONSES:
             self._fail_response(FailureReason.PROTOCOL, "too many late duplicate responses")
 
-    def _on_body(self, data: bytes, sink: ResponseSink) -> None:
+    def _deliver_body(self) -> None:
+        """Hand the parts of the body that were read in this turn to the sink as one."""
+        if self._undelivered_body and self._sink is not None:
+            self._sink.on_data(self._undelivered_body.take())
+
+    def _on_body(self, data: bytes) -> None:
         if not self._discarding_response:
-            sink.on_data(data)
+            self._undelivered_body.append(data)
             return
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
@@ -299,6 +312,7 @@
 
     def _fail_response(self, reason: FailureReason, detail: str) -> None:
         sink, self._sink = self._sink, None
+        self._undelivered_body.clear()
         self._stop_timer()
         self._close_with_reset()
         if sink is not None:
@@ -313,6 +327,7 @@
         if self._sink is not sink:
             return
         self._sink = None
+        self._undelivered_body.clear()
         self._stop_timer()
         self._close_with_reset()
 
--- a/packages/pollenglade-net/src/pollenglade_net/http_client.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from .address import Address
+from .body_buffer import BodyBuffer
 from .client_connection import MAX_IDLE_S
 from .client_connection import ClientConnection
 from .connection_pool import CONNECT_TIMEOUT_S
@@ -29,8 +30,7 @@
         self.result: asyncio.Future[HttpResponse | HttpFailure] = loop.create_future()
         self._status = 0
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
-        self._received_bytes = 0
+        self._body = BodyBuffer()
         self._limit_bytes = limit_bytes
 
     def on_head(self, status: int, headers: Headers) -> None:
@@ -38,9 +38,8 @@
         self._headers = headers
 
     def on_data(self, data: bytes) -> None:
-        self._received_bytes += len(data)
-        if self._received_bytes <= self._limit_bytes:
-            self._chunks.append(data)
+        if len(self._body) + len(data) <= self._limit_bytes:
+            self._body.append(data)
             return
         detail = f"the body is larger than {self._limit_bytes} bytes"
         self.on_failure(HttpFailure(FailureReason.TOO_LARGE, True, detail))
@@ -48,8 +47,7 @@
 
     def on_end(self) -> None:
         if not self.result.done():
-            body = b"".join(self._chunks)
-            self.result.set_result(HttpResponse(self._status, self._headers, body))
+            self.result.set_result(HttpResponse(self._status, self._headers, self._body.take()))
 
     def on_failure(self, failure: HttpFailure) -> None:
         if not self.result.done():
--- a/packages/pollenglade-net/tests/test_net/test_endless_responses.py
+++ b/packages/pollenglade-net/tests/test_net/test_endless_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -10,8 +11,11 @@
 from time import thread_time
 
 from pollenglade_net.address import Address
+from pollenglade_net.client_connection import ClientConnection
+from pollenglade_net.connection_pool import ConnectionPool
 from pollenglade_net.http_client import HttpClient
 from pollenglade_net.http_message import FailureReason
+from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_server import HttpServer
@@ -23,6 +27,8 @@
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
+TINY_CHUNKS_LIMIT_BYTES = 256 * 1024
+
 CHECK_INTERVAL_S = 0.005
 
 
@@ -68,6 +74,27 @@
         self.assertGreaterEqual(clock.longest_s, MAX_STALL_S)
 
 
+class CountingSink:
+    """Counts the parts of a body."""
+
+    def __init__(self) -> None:
+        self.part_count = self.received_bytes = 0
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        pass
+
+    def on_data(self, data: bytes) -> None:
+        self.part_count += 1
+        self.received_bytes += len(data)
+
+    def on_end(self) -> None:
+        self.ended.set_result(None)
+
+    def on_failure(self, failure: HttpFailure) -> None:
+        self.ended.set_exception(AssertionError(failure))
+
+
 class EndlessResponseTest(unittest.IsolatedAsyncioTestCase):
     """A server that sends a head and then the same bytes again and again."""
 
@@ -130,6 +157,38 @@
     async def test_endless_tiny_chunks_hold_the_event_loop(self) -> None:
         await self.request(await self.start_server(CHUNKED_HEAD, b"1\r\nx\r\n"))
 
+    async def test_tiny_chunks_take_many_times_the_memory_of_their_body(self) -> None:
+        """Nodes held 43 bytes for each of them, in a list up to the limit on the body."""
+        address = await self.start_server(CHUNKED_HEAD, b"2\r\nxx\r\n")
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        result = await self.client.request(
+            address, "GET", "/", timeout_s=20.0, limit_bytes=TINY_CHUNKS_LIMIT_BYTES
+        )
+        assert isinstance(result, HttpFailure), result
+        self.assertIs(result.reason, FailureReason.TOO_LARGE)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 4 * TINY_CHUNKS_LIMIT_BYTES)
+
+    async def test_each_tiny_chunk_is_handed_on_alone(self) -> None:
+        """Each became a message of its own on a link, so that their callers got 504."""
+        body = b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CHUNKED_HEAD + body)
+            await writer.drain()
+
+        address = await self._listen(serve)
+        pool = ConnectionPool()
+        self.addAsyncCleanup(pool.close)
+        connection = await pool.connect(address, 1.0)
+        assert isinstance(connection, ClientConnection)
+        sink = CountingSink()
+        connection.send("GET", b"/", [(b"host", b"a")], b"", sink, 20.0)
+        await sink.ended
+        self.assertEqual(sink.received_bytes, 20_000)
+        self.assertLess(sink.part_count, 20_000 / 32)
+
     async def test_endless_head_lines_hold_the_event_loop(self) -> None:
         failure = await self.request(await self.start_server(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"))
         self.assertIs(failure.reason, FailureReason.PROTOCOL)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -15,6 +15,7 @@
 from pollenglade_core.dispatch.tree_cost import add_usage
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.body_buffer import BodyBuffer
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.http_message import FailureReason
 from pollenglade_net.http_message import Headers
@@ -126,8 +127,7 @@
         self.sent_at = 0.0
         self._status = 0
         self._headers: Headers = []
-        self._buffered_chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self._body = BodyBuffer()
         self._streaming = False
         self._relay_window = RelayWindow()
         self._nested_usage: UsageByService = {}
@@ -204,9 +204,8 @@
     def on_data(self, data: bytes) -> None:
         """Buffer a chunk of the body, or relay it once the body exceeds the buffer limit."""
         if not self._streaming:
-            self._buffered_chunks.append(data)
-            self._buffered_bytes += len(data)
-            if self._buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+            self._body.append(data)
+            if len(self._body) > MAX_BUFFERED_RESPONSE_BYTES:
                 self._start_streaming()
             return
         self._relay(data)
@@ -218,13 +217,11 @@
             return
         self._streaming = True
         self._sink.on_head(self._status, end_to_end_headers(self._headers))
-        chunks, self._buffered_chunks = self._buffered_chunks, []
-        for chunk in chunks:
-            self._relay(chunk)
+        self._relay(self._body.take())
 
     def _stop_reading(self, refusal: Refusal | None) -> None:
         """End a response that is not forwarded and may have no end; close its connection."""
-        self._buffered_chunks.clear()
+        self._body.clear()
         if self._connection is not None:
             self._connection.cancel(self)
         if refusal is None:
@@ -262,7 +259,7 @@
             self._fail(refusal, completed=self.is_rejected)
             return
         sink, self._sink = self._sink, None
-        body = b"".join(self._buffered_chunks)
+        body = self._body.take()
         feedback = self._end(completed=True)
         sink.on_response(self._status, end_to_end_headers(self._headers), body, feedback)
 
@@ -325,7 +322,7 @@
     def _end(self, completed: bool) -> Feedback:
         # A call may stay until a garbage collection, what it has received must not.
         self._request = ENDED_REQUEST
-        self._buffered_chunks = []
+        self._body.clear()
         started_at = self._started_at
         target_s = 0.0 if started_at is None else monotonic() - started_at
         usage = self._nested_usage
