--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -39,6 +39,7 @@
 from pollenglade_net.http_message import HttpFailure
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.memory_budget import MemoryBudget
 
 from .endpoint_call import EndpointCall
 from .header_names import HeaderNames
@@ -86,6 +87,7 @@
         crash_ledger: CrashLedger,
         random_source: RandomSource,
         request_log: RequestLog,
+        memory_budget: MemoryBudget,
     ) -> None:
         self._crash_id_prefix = crash_id_prefix
         self._service = service
@@ -94,6 +96,7 @@
         self._crash_ledger = crash_ledger
         self._random_source = random_source
         self._request_log = request_log
+        self.memory_budget = memory_budget
         self._loop = asyncio.get_running_loop()
         self._queue = EndpointQueue(1)
         self._call_by_id: dict[str, EndpointCall] = {}
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -103,6 +103,7 @@
         self._crash_ledger = CrashLedger()
         self.request_log = RequestLog()
         self._loop_delay = LoopDelay()
+        self.memory_budget = MemoryBudget(settings.memory_budget_bytes)
         self.serving = EndpointServing(
             f"{settings.node}/{incarnation:x}",
             settings.service,
@@ -111,9 +112,9 @@
             self._crash_ledger,
             random_source,
             self.request_log,
+            self.memory_budget,
         )
         hello = Hello(settings.node, incarnation, settings.zone)
-        self.memory_budget = MemoryBudget(settings.memory_budget_bytes)
         self._links = Links(
             hello,
             self.serving,
