Discard the body of a call that its target sheds

Cause: a response that says that the call has not run is not streamed, and its body, which nobody needs, was kept whole until the deadline of the call.

This works because nothing of such a body is kept at all.

--- a/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/serving_call.py
@@ -16,6 +16,7 @@
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_net.attempt import AttemptSink
+from pollenglade_net.body_buffer import BodyBuffer
 from pollenglade_net.client_connection import MAX_IDLE_S
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.connection_pool import NON_RETRYABLE_MAX_IDLE_S
@@ -96,7 +97,8 @@
         self._started_at = 0.0
         self._status = 0
         self._headers: Headers = []
-        self._body_chunks: list[bytes] = []
+        self._body = BodyBuffer()
+        self._discarded_bytes = 0
         self._streaming = False
         self._window = RelayWindow()
         self.nested_calls: set[CancellableCall] = set()
@@ -180,14 +182,24 @@
         return self._status == 503 and (NOT_RUN_HEADER, b"true") in self._headers
 
     def on_data(self, data: bytes) -> None:
-        """Buffer or relay a chunk of the body."""
+        """Buffer or relay a part of the body; that of a shed call is discarded."""
+        if self._is_shed():
+            self._discard(len(data))
+            return
         if not self._streaming:
-            self._body_chunks.append(data)
+            self._body.append(data)
             return
         self._window.on_sent(len(data), self._connection)
         if self._sink is not None:
             self._sink.on_data(data)
 
+    def _discard(self, byte_count: int) -> None:
+        self._discarded_bytes += byte_count
+        if self._discarded_bytes > MAX_SINGLE_MESSAGE_BYTES and self._connection is not None:
+            # The body may have no end, and what the response says is known.
+            self._connection.cancel(self)
+            self.on_end()
+
     def credit(self, credit_bytes: int) -> None:
         """Allow `credit_bytes` further bytes of a streamed body."""
         self._window.credit(credit_bytes, self._connection)
@@ -205,7 +217,7 @@
         elif self._streaming:
             sink.on_end(feedback)
         else:
-            sink.on_response(self._status, self._headers, b"".join(self._body_chunks), feedback)
+            sink.on_response(self._status, self._headers, self._body.take(), feedback)
 
     def on_failure(self, failure: HttpFailure) -> None:
         """Report why there is no complete response.
