Bound the response to a claimed call that is held until it is complete

Cause: the response to a claimed call is buffered, because a repeat gets it too, and each part was credited to the sender at once, so that nothing bounded it but the deadline.

Calls of the mesh use the same buffer. This works because the bytes are counted before they are credited.

--- a/packages/pollenglade-net/src/pollenglade_net/body_buffer.py
+++ b/packages/pollenglade-net/src/pollenglade_net/body_buffer.py
@@ -1,7 +1,11 @@
-"""Buffer for a body that arrives in parts of any size."""
+"""Buffers for a body that arrives in parts of any size."""
 
 from __future__ import annotations
 
+from .memory_budget import UNCOUNTED_BYTES
+from .memory_budget import MemoryBudget
+from .memory_budget import body_memory_bytes
+
 
 class BodyBuffer:
     """Joins the parts of a body as they arrive.
@@ -38,3 +42,35 @@
     def clear(self) -> None:
         """Drop all parts."""
         self._first_part, self._parts = b"", None
+
+
+class ReservedBodyBuffer(BodyBuffer):
+    """Buffer whose memory is reserved in a budget until the body is taken or dropped."""
+
+    __slots__ = ("_budget", "_reserved_bytes")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        super().__init__()
+        self._budget = budget
+        self._reserved_bytes = 0
+
+    def try_append(self, data: bytes) -> bool:
+        """Add the next part; return False if the budget has no room for it.
+
+        The part is kept all the same, so that the caller can pass the body on or drop it.
+        """
+        self.append(data)
+        size_bytes = body_memory_bytes(len(self))
+        if size_bytes <= UNCOUNTED_BYTES:
+            return True
+        if not self._budget.try_resize(self._reserved_bytes, size_bytes):
+            return False
+        self._reserved_bytes = size_bytes
+        return True
+
+    def clear(self) -> None:
+        """Drop all parts and release their memory."""
+        super().clear()
+        if self._reserved_bytes:
+            self._budget.try_resize(self._reserved_bytes, 0)
+            self._reserved_bytes = 0
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
@@ -26,6 +26,7 @@
 from pollenglade_net.exchange import Exchange
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
+from pollenglade_net.memory_budget import MemoryBudget
 
 from ..serving.serving import Serving
 from ..serving.serving_call import CancellableCall
@@ -136,6 +137,7 @@
         claims: CallClaimer,
         counter: CallCounter,
         source: RandomSource,
+        memory_budget: MemoryBudget,
     ) -> None:
         self.node = node
         self.serving = serving
@@ -144,6 +146,7 @@
         self.dispatcher = dispatcher
         self.counter = counter
         self.source = source
+        self.memory_budget = memory_budget
         self.configuration = Configuration()
         self.open_calls: set[EntryCall] = set()
         self._call_id_prefix = f"{node}.{incarnation:x}."
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -19,7 +18,9 @@
 from pollenglade_core.calls.retry import RetryAllowance
 from pollenglade_core.routing.endpoint import ChosenEndpoint
 from pollenglade_net.attempt import Attempt
+from pollenglade_net.body_buffer import ReservedBodyBuffer
 from pollenglade_net.exchange import Exchange
+from pollenglade_net.http_client import MAX_RESPONSE_BYTES
 from pollenglade_net.http_message import Headers
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.link_message import Feedback
@@ -57,7 +58,7 @@
 
     status: int
     headers: Headers
-    chunks: list[bytes] = field(default_factory=list)
+    body: ReservedBodyBuffer
 
 
 class EntryCall:
@@ -179,7 +180,8 @@
     def on_head(self, status: int, headers: Headers) -> None:
         """Start a streamed response to the caller, or buffer it for `on_result`."""
         if self.on_result is not None:
-            self._buffered_response = _BufferedResponse(status, headers)
+            body = ReservedBodyBuffer(self._entry.memory_budget)
+            self._buffered_response = _BufferedResponse(status, headers, body)
             return
         self._status = status
         self._exchange.on_drained = self._on_drained
@@ -191,15 +193,25 @@
         Bytes that are forwarded to a congested caller are credited once its connection drains.
         """
         if self._buffered_response is not None:
-            self._buffered_response.chunks.append(data)
-            if self._attempt is not None:
-                self._attempt.credit(len(data))
+            self._buffer(self._buffered_response.body, data)
             return
         self._exchange.write_chunk(data)
         self._uncredited_bytes += len(data)
         if not self._exchange.is_write_buffer_full:
             self._on_drained()
 
+    def _buffer(self, body: ReservedBodyBuffer, data: bytes) -> None:
+        """Buffer a part of a body; give the attempt up if the body is too large or has no end."""
+        is_reserved = body.try_append(data)
+        if is_reserved and len(body) <= MAX_RESPONSE_BYTES:
+            if self._attempt is not None:
+                self._attempt.credit(len(data))
+            return
+        if self._attempt is not None:
+            self._attempt.cancel()
+        detail = f"no memory for more than {len(body)} bytes of the response"
+        self.on_failure(Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, None, detail), Feedback())
+
     def _on_drained(self) -> None:
         byte_count, self._uncredited_bytes = self._uncredited_bytes, 0
         if byte_count and self._attempt is not None:
@@ -212,7 +224,7 @@
         self._entry.router.on_finish(route, now, now - self._attempt_started_at, True)
         buffered, self._buffered_response = self._buffered_response, None
         if buffered is not None:
-            self.finish(buffered.status, buffered.headers, b"".join(buffered.chunks))
+            self.finish(buffered.status, buffered.headers, buffered.body.take())
             return
         self._count_response(self._status)
         self._close(self.context.allowance.remaining)
@@ -224,7 +236,7 @@
         now = monotonic()
         self._entry.router.on_failure(route, now, now - self._attempt_started_at)
         if self._buffered_response is not None:
-            self._buffered_response = None
+            self._drop_buffered_response()
             self.finish_refused(refusal)
             return
         self._count_failure(Outcome.UNKNOWN, refusal.reason)
@@ -343,7 +355,13 @@
         elapsed_s = monotonic() - self.started_at
         self._entry.counter.count_failure(self.context, outcome, reason, elapsed_s)
 
+    def _drop_buffered_response(self) -> None:
+        if self._buffered_response is not None:
+            self._buffered_response.body.clear()
+            self._buffered_response = None
+
     def _close(self, unspent_retries: int | None) -> None:
+        self._drop_buffered_response()
         self.is_open = False
         self._entry.open_calls.discard(self)
         self.on_closed(unspent_retries)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -15,7 +15,7 @@
 from pollenglade_core.dispatch.tree_cost import add_usage
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_net.attempt import AttemptSink
-from pollenglade_net.body_buffer import BodyBuffer
+from pollenglade_net.body_buffer import ReservedBodyBuffer
 from pollenglade_net.client_connection import ClientConnection
 from pollenglade_net.http_message import FailureReason
 from pollenglade_net.http_message import Headers
@@ -23,9 +23,7 @@
 from pollenglade_net.http_message import HttpRequest
 from pollenglade_net.http_message import end_to_end_headers
 from pollenglade_net.link_message import Feedback
-from pollenglade_net.memory_budget import UNCOUNTED_BYTES
 from pollenglade_net.memory_budget import MemoryBudget
-from pollenglade_net.memory_budget import body_memory_bytes
 
 from ..serving.relay_window import RelayWindow
 from .header_names import HeaderNames
@@ -134,8 +132,7 @@
         self.sent_at = 0.0
         self._status = 0
         self._headers: Headers = []
-        self._body = BodyBuffer()
-        self._reserved_bytes = 0
+        self._body = ReservedBodyBuffer(owner.memory_budget)
         self._streaming = False
         self._relay_window = RelayWindow()
         self._nested_usage: UsageByService = {}
@@ -212,27 +209,12 @@
     def on_data(self, data: bytes) -> None:
         """Buffer a part of the body, or relay it if the body is large or memory is short."""
         if not self._streaming:
-            self._body.append(data)
-            if len(self._body) > MAX_BUFFERED_RESPONSE_BYTES or not self._reserve_body():
+            is_reserved = self._body.try_append(data)
+            if not is_reserved or len(self._body) > MAX_BUFFERED_RESPONSE_BYTES:
                 self._start_streaming()
             return
         self._relay(data)
 
-    def _reserve_body(self) -> bool:
-        size_bytes = body_memory_bytes(len(self._body))
-        if size_bytes <= UNCOUNTED_BYTES:
-            return True
-        if not self._owner.memory_budget.try_resize(self._reserved_bytes, size_bytes):
-            return False
-        self._reserved_bytes = size_bytes
-        return True
-
-    def _release_body(self) -> None:
-        self._body.clear()
-        reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
-        if reserved_bytes:
-            self._owner.memory_budget.try_resize(reserved_bytes, 0)
-
     def _start_streaming(self) -> None:
         refusal = check_response(self._owner.names, self.request_id, self._status, self._headers)
         if refusal is not None or self._sink is None:
@@ -240,13 +222,11 @@
             return
         self._streaming = True
         self._sink.on_head(self._status, end_to_end_headers(self._headers))
-        body = self._body.take()
-        self._release_body()
-        self._relay(body)
+        self._relay(self._body.take())
 
     def _stop_reading(self, refusal: Refusal | None) -> None:
         """End a response that is not forwarded and may have no end; close its connection."""
-        self._release_body()
+        self._body.clear()
         if self._connection is not None:
             self._connection.cancel(self)
         if refusal is None:
@@ -347,7 +327,7 @@
     def _end(self, completed: bool) -> Feedback:
         # A call may stay until a garbage collection, what it has received must not.
         self._request = ENDED_REQUEST
-        self._release_body()
+        self._body.clear()
         started_at = self._started_at
         target_s = 0.0 if started_at is None else monotonic() - started_at
         usage = self._nested_usage
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -170,6 +170,7 @@
             self.claims,
             self.counter,
             random_source,
+            memory_budget,
         )
         self.metrics = Metrics(settings.node, settings.zone, self._metrics_sources())
         self.status = Status(
--- a/tests/test_system/test_endless_answers.py
+++ b/tests/test_system/test_endless_answers.py
@@ -49,6 +49,11 @@
         statuses = await self.call_while_watched("/fees/shed", "GET", self.nodes[1])
         self.assertEqual(statuses, {503})
 
+    async def test_a_claimed_call_keeps_a_response_without_end(self) -> None:
+        """Its response is buffered, because a repeat of the call gets it too."""
+        statuses = await self.call_while_watched("/fees/endless", "POST", self.nodes[0])
+        self.assertLessEqual(statuses, {502, 504})
+
     async def call_while_watched(self, path: str, method: str, holder: NodeProcess) -> set[int]:
         """Send calls and return their statuses; fail if `holder` takes too much memory."""
         watch = ProcessWatch(holder.process.pid)
