--- a/packages/pollenglade-net/src/pollenglade_net/http_server.py
+++ b/packages/pollenglade-net/src/pollenglade_net/http_server.py
@@ -97,11 +97,13 @@
     def _check_connections(self) -> None:
         self._expiry_timer = None
         now = monotonic()
-        for connection in list(self.connections):
-            connection.check_expiry(now)
-            connection.check_progress()
-        if self.connections:
-            self._schedule_expiry_check()
+        try:
+            for connection in list(self.connections):
+                connection.check_expiry(now)
+                connection.check_progress()
+        finally:
+            if self.connections:
+                self._schedule_expiry_check()
 
     def _end_stalled_requests(self) -> None:
         for connection in list(self.connections):
--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -206,6 +206,7 @@
             LinkError,
             ValueError,
             TypeError,
+            OverflowError,
             msgpack.exceptions.UnpackException,
         ) as error:
             self.close(f"malformed message: {error}")
@@ -381,7 +382,7 @@
         if kind == Kind.ANSWER:
             callback = self._reply_callback_by_stream.pop(stream, None)
             if callback is not None:
-                callback(message[2] if len(message) > 2 else None)
+                self._call_reply_callback(callback, message[2] if len(message) > 2 else None)
             return
         if len(message) < 4 or not isinstance(message[2], str):
             raise LinkError("a question lacks its topic")
@@ -389,6 +390,14 @@
             message[2], message[3], lambda payload: self.send(pack([Kind.ANSWER, stream, payload]))
         )
 
+    def _call_reply_callback(self, callback: Callable[[object], None], reply: object) -> None:
+        try:
+            callback(reply)
+        except Exception as error:
+            # A reply that cannot be handled is no reason to end the calls on the link.
+            message = "a reply could not be handled"
+            self._loop.call_exception_handler({"message": message, "exception": error})
+
     def call(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
         """Send a call, whose result `sink` receives; the link must be open."""
         stream = self._allocate_stream()
--- a/packages/pollenglade-node/src/pollenglade_node/control/configuration_sync.py
+++ b/packages/pollenglade-node/src/pollenglade_node/control/configuration_sync.py
@@ -26,6 +26,8 @@
 from pollenglade_net.http_message import HttpResponse
 from pollenglade_net.http_message import json_response
 
+from ..supervision import keep_running
+
 POLL_INTERVAL_S = 1.0
 """Interval at which a node that polls the platform for its zone does so.
 
@@ -62,7 +64,8 @@
 
     async def start(self) -> None:
         """Start polling the platform."""
-        self._poll_task = self._loop.create_task(self._poll_periodically())
+        work = keep_running("polling of the configuration", self._poll_periodically)
+        self._poll_task = self._loop.create_task(work)
 
     async def close(self) -> None:
         """Stop polling and cancel a pull in progress."""
--- a/packages/pollenglade-node/src/pollenglade_node/entry/count_batches.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/count_batches.py
@@ -54,18 +54,18 @@
             self._log_totals_and_reschedule()
 
     def _close_batch_and_reschedule(self) -> None:
-        self.close_batch(time.time())
         loop = asyncio.get_running_loop()
         self._timer_by_name["batch"] = loop.call_later(
             BATCH_INTERVAL_S, self._close_batch_and_reschedule
         )
+        self.close_batch(time.time())
 
     def _log_totals_and_reschedule(self) -> None:
-        self.log_totals()
         loop = asyncio.get_running_loop()
         self._timer_by_name["log"] = loop.call_later(
             self._log_interval_s, self._log_totals_and_reschedule
         )
+        self.log_totals()
 
     def close_batch(self, ended_at: float) -> None:
         """Close a batch with all calls that ended since the previous batch.
--- a/packages/pollenglade-node/src/pollenglade_node/main.py
+++ b/packages/pollenglade-node/src/pollenglade_node/main.py
@@ -16,6 +16,7 @@
 from .node import Node
 from .settings import NodeSettings
 from .settings import load_settings
+from .supervision import log_unhandled_exceptions
 
 EXIT_SETTINGS = 2
 """Exit code for invalid settings."""
@@ -77,6 +78,7 @@
     """Run a node until SIGTERM or SIGINT, then drain and close it."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    log_unhandled_exceptions(loop)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     node = Node(settings)
--- a/packages/pollenglade-node/src/pollenglade_node/membership/gossip.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/gossip.py
@@ -60,13 +60,13 @@
         self._advance()
 
     def _advance(self) -> None:
+        self._timer = self._loop.call_later(ADVANCE_INTERVAL_S, self._advance)
         for action in self._prober.advance(monotonic()):
             if isinstance(action, Ping):
                 self._spawn(self._ping(action))
             else:
                 self._spawn(self._ping_indirectly(action))
         self._report_changes()
-        self._timer = self._loop.call_later(ADVANCE_INTERVAL_S, self._advance)
 
     def _report_changes(self) -> None:
         states = {
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -27,6 +27,8 @@
 from pollenglade_net.link_message import Hello
 from pollenglade_net.memory_budget import MemoryBudget
 
+from ..supervision import call_guarded
+
 CONNECT_TIMEOUT_S = 0.25
 """Time limit for opening a link.
 
@@ -161,6 +163,7 @@
         self._check_links()
 
     def _check_links(self) -> None:
+        self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check_links)
         now = monotonic()
         for link in [*self._link_by_node.values(), *self._accepted_links]:
             if link.is_ping_unanswered and link.peer is not None:
@@ -172,7 +175,6 @@
             if now - accepted_at < HANDSHAKE_TIMEOUT_S:
                 break
             link.close("no handshake in time", abort=True)
-        self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check_links)
 
     def _schedule_reopen(self, node: str) -> None:
         if node not in self._reopening_nodes:
@@ -213,12 +215,15 @@
         return pending
 
     def handle_query(self, topic: str, payload: object, answer: Callable[[object], None]) -> None:
-        """Answer the query of a peer by calling `answer`; the reply to an unknown topic is None."""
+        """Answer the query of a peer by calling `answer`.
+
+        The reply is None for an unknown topic, and where the handler of the topic fails.
+        """
         handler = self.query_handler_by_topic.get(topic)
-        if handler is None:
+        if handler is None or not call_guarded(
+            "query_failed", lambda: handler(payload, answer), topic=topic
+        ):
             answer(None)
-            return
-        handler(payload, answer)
 
     def query_node(
         self, node: str, topic: str, payload: object, callback: Callable[[object], None]
--- a/packages/pollenglade-node/src/pollenglade_node/membership/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/presence.py
@@ -19,6 +19,7 @@
 from pollenglade_net.platform_api import Unavailable
 from pollenglade_net.platform_api import VersionConflict
 
+from ..supervision import keep_running
 from .announcement import AnnouncedTarget
 from .announcement import NodeAnnouncement
 from .announcement import announcement_from_wire
@@ -65,8 +66,8 @@
     async def start(self) -> None:
         """Start the announcements, and the reads after the first announcement is written."""
         self._tasks = [
-            self._loop.create_task(self._announce_periodically()),
-            self._loop.create_task(self._read_rows_periodically()),
+            self._loop.create_task(keep_running("announcements", self._announce_periodically)),
+            self._loop.create_task(keep_running("reads of rows", self._read_rows_periodically)),
         ]
 
     def announce_now(self) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -410,12 +410,12 @@
         return report_interval_s(len(self.member_by_node))
 
     def _send_periodically(self) -> None:
-        # All peers share one iteration of the event loop; one for each peer costs more in total.
-        for node in self.nodes:
-            self._send(node)
         spread = INTERVAL_SPREAD * (2.0 * self._random_source.random() - 1.0)
         delay_s = self._state_interval_s() * (1.0 + spread)
         self._send_timer = self._loop.call_later(delay_s, self._send_periodically)
+        # All peers share one iteration of the event loop; one for each peer costs more in total.
+        for node in self.nodes:
+            self._send(node)
 
     def _send(self, node: str, force: bool = False) -> None:
         if node == self._local_member.node or node not in self.member_by_node:
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -312,10 +312,10 @@
         log.info("node_started", incarnation=self.incarnation)
 
     def _expire_targets(self) -> None:
-        self.serving.expire_targets()
         self._target_expiry_timer = self._loop.call_later(
             TARGET_EXPIRY_INTERVAL_S, self._expire_targets
         )
+        self.serving.expire_targets()
 
     async def stop_gracefully(self) -> None:
         """Refuse new calls, notify all peers, release the quota slots and wait for running calls.
--- a/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
+++ b/packages/pollenglade-node/src/pollenglade_node/quota/quota_service.py
@@ -313,21 +313,20 @@
             self.holder.settle(account, settlements, monotonic())
 
     def _advance(self) -> None:
-        now = monotonic()
-        self._execute(self.borrower.advance(now))
         self._timer_by_name["borrowers"] = self._loop.call_later(ADVANCE_INTERVAL_S, self._advance)
+        self._execute(self.borrower.advance(monotonic()))
 
     def _advance_leases(self) -> None:
         live = self._peers.live_nodes(self._zone)
         now = monotonic()
-        for action in self.leases.advance(live, now):
-            self._spawn(self._execute_lease_action(action))
-        interval_s = (
-            LEASE_INTERVAL_S
-            if self.leases.has_holders_for_preferred_slots(live, now)
-            else CLAIM_INTERVAL_S
-        )
-        self._timer_by_name["leases"] = self._loop.call_later(interval_s, self._advance_leases)
+        interval_s = LEASE_INTERVAL_S
+        try:
+            for action in self.leases.advance(live, now):
+                self._spawn(self._execute_lease_action(action))
+            if not self.leases.has_holders_for_preferred_slots(live, now):
+                interval_s = CLAIM_INTERVAL_S
+        finally:
+            self._timer_by_name["leases"] = self._loop.call_later(interval_s, self._advance_leases)
 
     async def _execute_lease_action(self, action: LeaseAction) -> None:
         if isinstance(action, ReadAnnouncement):
