--- a/packages/pollenglade-node/src/pollenglade_node/mesh/catch_up.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/catch_up.py
@@ -11,7 +11,7 @@
 from ..membership.links import Links
 from ..serving.crash_notices import CrashNotices
 from .evacuation_exchange import EvacuationExchange
-from .peer_exchange import MeshMember
+from .node_state import MeshMember
 from .peer_exchange import PeerExchange
 
 MEMBERS_TOPIC = "members"
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
@@ -18,7 +18,7 @@
 
 from ..membership.links import Links
 from .endpoint_serving import EndpointServing
-from .peer_exchange import NodeState
+from .node_state import NodeState
 
 DEPARTURE_TOPIC = "departure"
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -39,9 +39,9 @@
 from .loop_delay import LoopDelay
 from .mesh_metrics import LatencyHistogram
 from .mesh_settings import MeshSettings
+from .node_state import MeshMember
+from .node_state import NodeState
 from .peer_exchange import STATE_TOPIC
-from .peer_exchange import MeshMember
-from .peer_exchange import NodeState
 from .peer_exchange import PeerExchange
 from .policy_exchange import POLICY_TOPIC
 from .policy_exchange import PolicyDecoder
--- a/packages/pollenglade-node/tests/test_node/test_mesh/test_node_state.py
+++ b/packages/pollenglade-node/tests/test_node/test_mesh/test_node_state.py
@@ -12,8 +12,8 @@
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_node.mesh.load_report import pack_load
 from pollenglade_node.mesh.load_report import unpack_load
-from pollenglade_node.mesh.peer_exchange import MeshMember
-from pollenglade_node.mesh.peer_exchange import NodeState
+from pollenglade_node.mesh.node_state import MeshMember
+from pollenglade_node.mesh.node_state import NodeState
 
 STATE = NodeState(
     MeshMember("sidecar-west-a-12", "west-a", "reviews", "10.1.0.26:7011", 1796386134215),
