Leave out members without an address, and keep living nodes in their place

Cause: the fields of a member were not checked beyond their types, and any other member at the same address counted as replaced, the node itself included.

An entry neither moves nor replaces a node that reports its load; which of two members at one address is there is decided by who answers there, and the other one is removed.

--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -112,7 +112,7 @@
     """Owns all links; opens them on demand and sends calls and queries over them.
 
     `on_peer_suspected` is called at each check in which a peer has not answered the ping of the
-    previous one.
+    previous one, `on_peer_replaced` with a peer and the name of the node that answers in its place.
     """
 
     def __init__(
@@ -143,6 +143,7 @@
         self.on_peer_drain: Callable[[str, int], None] = lambda node, incarnation: None
         self.on_peer_disconnected: Callable[[str], None] = lambda node: None
         self.on_peer_suspected: Callable[[str], None] = lambda node: None
+        self.on_peer_replaced: Callable[[str, str], None] = lambda node, other: None
         self.query_handler_by_topic: dict[
             str, Callable[[object, Callable[[object], None]], None]
         ] = {}
@@ -294,6 +295,8 @@
                 link.close("no answer to the handshake", abort=True)
             return None
         if link.peer is None or link.peer.node != node:
+            if link.peer is not None:
+                self.on_peer_replaced(node, link.peer.node)
             link.close("the peer is another node")
             return None
         self._link_by_node[node] = link
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -197,6 +197,7 @@
         self.serving.on_crash = self._on_crash
         self._links.on_peer_disconnected = self.peers.on_disconnected
         self._links.on_peer_suspected = self.peers.on_suspected
+        self._links.on_peer_replaced = self.peers.on_replaced
         self._token_broker.is_alive = self.peers.is_alive
 
     @property
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
@@ -15,6 +15,13 @@
 from pollenglade_core.serving.endpoint_statement import UNKNOWN_INCARNATION
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_core.serving.endpoint_statement import checked_pace
+from pollenglade_net.address import Address
+
+MAX_NAME_CHARS = 255
+"""Longest name of a node, a zone or a service."""
+
+MAX_INTEGER = 2**63 - 1
+"""Largest integer that every message can carry."""
 
 EVACUATIONS_FIELD = "evacuations"
 """Key of the records of evacuated zones in the map at the end of a state message."""
@@ -41,12 +48,26 @@
         """Return the member as a list of plain values for the link."""
         return [self.node, self.zone, self.service, self.link_address, self.incarnation]
 
+    @classmethod
+    def checked(
+        cls, node: str, zone: str, service: str, link_address: str, incarnation: int
+    ) -> MeshMember | None:
+        """Return a member; None if no node can have these values."""
+        try:
+            Address.parse_peer(link_address)
+        except ValueError:
+            return None
+        names_are_valid = all(0 < len(name) <= MAX_NAME_CHARS for name in (node, zone, service))
+        if not names_are_valid or not 0 <= incarnation <= MAX_INTEGER:
+            return None
+        return cls(node, zone, service, link_address, incarnation)
+
     @classmethod
     def from_wire(cls, value: object) -> MeshMember | None:
-        """Decode a member; None if a field is missing or has the wrong type."""
+        """Decode a member; None if a field is missing, has the wrong type or is out of range."""
         match value:
             case [str(node), str(zone), str(service), str(address), int(incarnation)]:
-                return cls(node, zone, service, address, incarnation)
+                return cls.checked(node, zone, service, address, incarnation)
         return None
 
     def has_same_location(self, other: MeshMember) -> bool:
@@ -135,7 +156,9 @@
                 dict(slot_use_by_service),
                 *statement,
             ]:
-                member = MeshMember(node, zone, service, address, incarnation)
+                member = MeshMember.checked(node, zone, service, address, incarnation)
+                if member is None:
+                    return None
                 endpoint_incarnation, leaving, rate_limit = _decode_statement(statement)
                 pace = _decode_pace(statement)
                 load = EndpointLoad(
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/peer_exchange.py
@@ -132,6 +132,10 @@
                 known_member is not None and known_member.has_same_location(member)
             ):
                 continue
+            if known_member is not None and source != member.node and self.is_alive(member.node):
+                # A node itself knows best where it is; an entry may come from another writer.
+                log.warning("member_entry_rejected", member=member.node, source=source)
+                continue
             log.info("member_joined", member=member.node, source=source)
             self._put_member(member)
             changed = True
@@ -139,13 +143,18 @@
             self.on_members_changed()
 
     def _put_member(self, member: MeshMember) -> None:
+        address = Address.parse_peer(member.link_address)
         for node, other in list(self.member_by_node.items()):
-            # Only one node can use an address, so another node at the same address was replaced.
-            if node != member.node and other.link_address == member.link_address:
+            # Only one node can use an address, so another one there that is silent was replaced.
+            # One that is alive may be named wrongly; its link shows which of the two is there.
+            if (
+                node not in (member.node, self._local_member.node)
+                and other.link_address == member.link_address
+                and not self.is_alive(node)
+            ):
                 self._forget_member(node)
         self.member_by_node[member.node] = member
         self._view.add(member.node, member.zone, member.service)
-        address = Address.parse(member.link_address)
         self._links.peers_by_node[member.node] = PeerAddress(address, member.incarnation)
 
     def remove(self, node: str, source: str) -> None:
@@ -260,6 +269,11 @@
         if peer is not None:
             peer.last_query_at = float("-inf")
 
+    def on_replaced(self, node: str, other: str) -> None:
+        """Remove a member at whose address another node has answered."""
+        log.warning("member_replaced", member=node, by=other)
+        self.remove(node, "link")
+
     def on_suspected(self, node: str) -> None:
         """Prefer other endpoints to that of a peer whose link is silent."""
         peer = self._view.peer_by_node.get(node)
