--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -13,6 +13,13 @@
 from .warm_up import WarmUp
 from .warm_up import lower_limit
 
+REPORT_VALIDITY_S = 5.0
+"""Time in seconds after the latest heartbeat of an endpoint from which on heartbeats that seem
+older may show that it was none of the endpoint; several are missing then."""
+
+TAKEOVER_REPORTS = 3
+"""Heartbeats in the right order that show this; fewer may have been delayed on their way."""
+
 
 class LocalEndpointState(StrEnum):
     """State of an endpoint; only a ready one gets new requests."""
@@ -55,9 +62,30 @@
     warmup_left_s: float = 0.0
 
 
+class _IgnoredReports:
+    """Counts the heartbeats in a row of one endpoint that were ignored as old."""
+
+    def __init__(self) -> None:
+        self._identity = EndpointIdentity()
+        self._sequence = -1
+        self._count = 0
+
+    def count(self, identity: EndpointIdentity, sequence: int) -> int:
+        """Add a heartbeat; return how many of this endpoint came in the order of their numbers."""
+        if identity != self._identity:
+            self._identity, self._sequence, self._count = identity, -1, 0
+        if sequence > self._sequence:
+            self._sequence = sequence
+            self._count += 1
+        return self._count
+
+
 class EndpointRecord:
     """State of the local endpoint; an incarnation that has left is never ready again.
 
+    A heartbeat that seems older than the latest one is ignored. If that one is not followed by any,
+    and several that seem older arrive in order, it was not sent by the endpoint, and they count.
+
     What an endpoint states in its responses belongs to its `identity`, and is discarded when
     another endpoint or incarnation starts. That it leaves may be known from a heartbeat, from its
     deregistration or from a response; all three have the same effect.
@@ -67,6 +95,8 @@
         self._service = service
         self._departure: Departure | None = None
         self._sequence = -1
+        self._applied_at = 0.0
+        self._ignored = _IgnoredReports()
         self._rate_limit = RateLimitStatement()
         self.warm_up = WarmUp()
         self.identity = EndpointIdentity()
@@ -97,20 +127,27 @@
         """Apply a heartbeat unless a newer heartbeat or a newer incarnation is known."""
         if report.service != self._service:
             return ReportResult.OTHER_SERVICE
-        if report.incarnation < self.identity.incarnation:
-            return ReportResult.OLD_INCARNATION
         identity = EndpointIdentity(report.endpoint_id, report.incarnation)
-        if self._departure is not None and self._departure.covers(identity, now):
-            return ReportResult.ALREADY_LEFT
+        is_covered = self._departure is not None and self._departure.covers(identity, now)
         started = identity != self.identity
         is_draining = self.state is LocalEndpointState.DRAINING
-        if (
+        reason: ReportResult | None = None
+        if report.incarnation < self.identity.incarnation:
+            reason = ReportResult.OLD_INCARNATION
+        elif (
             not started
             and report.sequence <= self._sequence
             and (is_draining or not report.draining)
         ):
             # A drain that arrives late is not ignored, because it still holds.
-            return ReportResult.OLD_SEQUENCE
+            reason = ReportResult.OLD_SEQUENCE
+        if is_covered and reason is not ReportResult.OLD_INCARNATION:
+            return ReportResult.ALREADY_LEFT
+        if reason is not None:
+            takes_over = self._ignored.count(identity, report.sequence) >= TAKEOVER_REPORTS
+            is_current = is_draining or now < self._applied_at + REPORT_VALIDITY_S
+            if is_covered or is_current or not takes_over:
+                return reason
         if not started and is_draining:
             # A drain is final: it was acknowledged, and heartbeats that say otherwise may be late.
             self._sequence = report.sequence
@@ -119,6 +156,8 @@
             self._rate_limit = RateLimitStatement()
         self.warm_up.on_report(report.warmup_left_s, now)
         self.identity = identity
+        self._applied_at = now
+        self._ignored = _IgnoredReports()
         self._sequence = report.sequence
         self.address = report.address
         self.slots = report.slots
--- a/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
+++ b/packages/pollenglade-core/tests/test_core/test_serving/test_endpoint_record.py
@@ -42,6 +42,35 @@
         self.assertIs(self.apply(sequence=6), ReportResult.OLD_SEQUENCE)
         self.assertIs(self.record.state, LocalEndpointState.DRAINING)
 
+    def test_one_heartbeat_with_too_large_a_number_hides_the_endpoint_for_ever(self) -> None:
+        """All later ones of the endpoint itself seemed old, though nothing else was heard."""
+        for odd in ({"sequence": 10**12}, {"incarnation": 10**9, "sequence": 1}):
+            with self.subTest(**odd):
+                self.setUp()
+                self.record.apply(replace(REPORT, **odd), 10.0)  # type: ignore[arg-type]
+                results = [
+                    self.record.apply(replace(REPORT, sequence=6 + step), 11.0 + step)
+                    for step in range(8)
+                ]
+                self.assertIn(results[0], (ReportResult.OLD_SEQUENCE, ReportResult.OLD_INCARNATION))
+                self.assertIs(results[-1], ReportResult.APPLIED)
+                self.assertEqual(self.record.identity.incarnation, REPORT.incarnation)
+
+    def test_delayed_heartbeats_of_an_ended_endpoint_replace_a_running_one(self) -> None:
+        """They may arrive in order; those of the running one arrive as well."""
+        self.apply(incarnation=200, sequence=1)
+        for step in range(20):
+            at = 10.0 + step
+            if step % 4 == 0:
+                self.record.apply(replace(REPORT, incarnation=200, sequence=2 + step), at)
+            result = self.record.apply(replace(REPORT, sequence=50 + step), at)
+            self.assertIs(result, ReportResult.OLD_INCARNATION)
+        # Two of them are not enough, whatever the time since the latest heartbeat.
+        self.apply(incarnation=201, sequence=1)
+        for step in range(2):
+            result = self.record.apply(replace(REPORT, sequence=90 + step), 90.0 + step)
+            self.assertIs(result, ReportResult.OLD_INCARNATION)
+
     def test_a_drain_that_arrives_late_is_confirmed_and_ignored(self) -> None:
         """Requests reached the endpoint after the confirmation."""
         self.assertIs(self.apply(sequence=4, draining=True), ReportResult.APPLIED)
