Leave out figures of peers and rows that are no numbers or out of range

One figure that is no number in a state, a load or a usage would make the sums of a service none, so that each node refuses its trees, and would stay in every average that it enters.

Cause: figures were checked for their types; NaN, infinity, negative numbers and integers above 63 bits are of the right type.

Change: states, loads, usages, retry delays, learnt trees, departures and crash notices are checked for their ranges where they are decoded (pollenglade_core.numbers); a state with such a figure counts as malformed, single usages are left out. Slots that a health check states have at most nine digits. This works because nothing else enters the sums, averages and messages of a node.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/learnt_trees.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/learnt_trees.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..numbers import MAX_SECONDS
+from ..numbers import is_in_range
 from .tree_cost import Usage
 
 MIN_RELATIVE_CHANGE = 0.25
@@ -31,7 +33,8 @@
             case {"residence_s": float() | int() as residence_s, "usage": dict(wire_usage)}:
                 usage = {name: _usage(item) for name, item in wire_usage.items()}
                 valid_usage = {name: item for name, item in usage.items() if item is not None}
-                if residence_s > 0 and valid_usage and len(valid_usage) == len(usage):
+                is_time = residence_s > 0 and is_in_range(residence_s, 0.0, MAX_SECONDS)
+                if is_time and valid_usage and len(valid_usage) == len(usage):
                     return cls(float(residence_s), valid_usage)
         return None
 
@@ -50,6 +53,7 @@
 
 def _usage(item: object) -> Usage | None:
     match item:
-        case [float() | int() as calls, float() | int() as slot_s] if calls >= 0 and slot_s >= 0:
-            return Usage(float(calls), float(slot_s))
+        case [calls, slot_s]:
+            if is_in_range(calls, 0.0, MAX_SECONDS) and is_in_range(slot_s, 0.0, MAX_SECONDS):
+                return Usage(float(calls), float(slot_s))
     return None
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_record.py
@@ -13,6 +13,9 @@
 from .warm_up import WarmUp
 from .warm_up import lower_limit
 
+MAX_SLOTS = 100_000
+"""Most slots that an endpoint can have."""
+
 REPORT_VALIDITY_S = 5.0
 """Time in seconds after the latest heartbeat of an endpoint from which on heartbeats that seem
 older may show that it was none of the endpoint; several are missing then."""
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -19,6 +19,8 @@
 from pollenglade_core.calls.outcome import Reason
 from pollenglade_core.calls.outcome import Refusal
 from pollenglade_core.calls.retry import RetryAllowance
+from pollenglade_core.numbers import MAX_SECONDS
+from pollenglade_core.numbers import is_in_range
 
 from .http_head import MAX_FIELDS
 from .http_message import Headers
@@ -370,7 +372,7 @@
         outcome = Outcome(outcome_text)
     except ValueError:
         outcome = Outcome.UNKNOWN
-    retry_after_s = float(retry_after) if isinstance(retry_after, int | float) else None
+    retry_after_s = float(retry_after) if is_in_range(retry_after, 0.0, MAX_SECONDS) else None
     refusal = Refusal(reason, outcome, retry_after_s, detail)
     usage, load = _unpack_usage_and_load(message, 10)
     return refusal, Feedback(unspent, level, fraction, usage=usage, load_report=load)
@@ -387,7 +389,7 @@
     unspent, level, *numbers = values
     if not isinstance(unspent, int) or not isinstance(level, int):
         raise LinkError("feedback is not a number")
-    fractions = [float(item) if isinstance(item, int | float) else 0.0 for item in numbers]
+    fractions = [float(item) if is_in_range(item, 0.0, MAX_SECONDS) else 0.0 for item in numbers]
     fraction, target_s = (*fractions, 0.0)[:2]
     usage, load = _unpack_usage_and_load(message, position + 4)
     return Feedback(unspent, level, fraction, target_s, usage, load)
@@ -407,7 +409,13 @@
         if not isinstance(item, list) or len(item) != 4 or not isinstance(item[0], str):
             raise LinkError("a usage is not a service with three numbers")
         calls, slot_s, wait_s = (_checked_number(value) for value in item[1:])
-        items.append((item[0], calls, slot_s, wait_s))
+        # A figure that is none would stay in each average that it enters.
+        if (
+            0.0 <= calls <= MAX_SECONDS
+            and 0.0 <= slot_s <= MAX_SECONDS
+            and 0.0 <= wait_s <= MAX_SECONDS
+        ):
+            items.append((item[0], calls, slot_s, wait_s))
     return tuple(items), tuple(_checked_number(value) for value in load)
 
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
@@ -14,6 +14,10 @@
 import structlog
 
 from pollenglade_core.dispatch.peer_view import PeerView
+from pollenglade_core.numbers import MAX_INTEGER
+from pollenglade_core.numbers import MAX_SECONDS
+from pollenglade_core.numbers import is_in_range
+from pollenglade_core.serving.endpoint_statement import UNKNOWN_INCARNATION
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 
 from ..membership.links import Links
@@ -109,7 +113,13 @@
     def on_query(self, payload: object, reply: Callable[[object], None]) -> None:
         """Apply a departure that a peer tells."""
         match payload:
-            case [str(endpoint_id), int(incarnation), float() | int() as age_s]:
+            case [
+                str(endpoint_id),
+                int(incarnation),
+                age_s,
+            ] if UNKNOWN_INCARNATION <= incarnation <= MAX_INTEGER and is_in_range(
+                age_s, -MAX_SECONDS, MAX_SECONDS
+            ):
                 self.apply(EndpointIdentity(endpoint_id, incarnation), max(0.0, age_s), "peer")
         reply(True)
 
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_serving.py
@@ -23,6 +23,7 @@
 from pollenglade_core.serving.endpoint_queue import QueueAction
 from pollenglade_core.serving.endpoint_queue import QueuedRequest
 from pollenglade_core.serving.endpoint_queue import StartRequest
+from pollenglade_core.serving.endpoint_record import MAX_SLOTS
 from pollenglade_core.serving.endpoint_record import EndpointRecord
 from pollenglade_core.serving.endpoint_record import EndpointReport
 from pollenglade_core.serving.endpoint_record import LocalEndpointState
@@ -47,6 +48,7 @@
 from .request_log import RequestLog
 from .response_check import WRONG_ENDPOINT_STATUS
 from .silence_check import SilenceCheck
+from .statement_fields import read_slots
 from .statement_fields import read_statement
 
 EXPIRY_INTERVAL_S = 0.02
@@ -302,9 +304,8 @@
         if isinstance(response, HttpFailure) or response.status != 200:
             return
         endpoint_id = (response.header(self._names.endpoint) or b"").decode("latin-1")
-        fields = (response.header(self._names.load) or b"").split(b",")
-        slots = int(fields[2]) if len(fields) > 2 and fields[2].strip().isdigit() else 0
-        if not endpoint_id or slots < 1:
+        slots = read_slots(self._names, response.headers)
+        if not endpoint_id or not 1 <= slots <= MAX_SLOTS:
             return
         previous_state = self.record.state
         if self.record.apply_health_check(endpoint_id, str(self._address), slots, monotonic()):
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/load_report.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/load_report.py
@@ -10,6 +10,9 @@
 LOAD_FIELD_COUNT = 5
 """Figures that every release sends: running, waiting, limit, expected seconds, failure rate."""
 
+MAX_FIGURE = 1e12
+"""Largest figure that is taken for one of a load; rate limits have up to 12 digits."""
+
 NO_RATE_LIMIT = -1.0
 """Stands for an endpoint without a rate limit."""
 
@@ -32,19 +35,25 @@
 
 
 def unpack_load(figures: Sequence[float]) -> tuple[EndpointLoad, bool] | None:
-    """Return the load of an endpoint and whether it is leaving; None if figures are missing."""
+    """Return the load of an endpoint and whether it is leaving.
+
+    None if figures are missing or out of range.
+    """
     if len(figures) < LOAD_FIELD_COUNT:
         return None
+    for figure in figures:
+        if not NO_RATE_LIMIT <= figure <= MAX_FIGURE:
+            return None
     running, waiting, limit, expected_s, failure_rate = figures[:LOAD_FIELD_COUNT]
     statement = figures[LOAD_FIELD_COUNT:]
     rate_limit = statement[0] if statement else NO_RATE_LIMIT
     leaving = statement[1] if len(statement) > 1 else 0.0
     load = EndpointLoad(
-        int(running),
-        int(waiting),
+        max(0, int(running)),
+        max(0, int(waiting)),
         max(1, int(limit)),
-        expected_s,
-        failure_rate,
+        max(0.0, expected_s),
+        min(1.0, max(0.0, failure_rate)),
         None if rate_limit < 0.0 else rate_limit,
         checked_pace(statement[2]) if len(statement) > 2 else None,
     )
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
@@ -12,6 +12,9 @@
 from pollenglade_core.dispatch.peer_view import EndpointLoad
 from pollenglade_core.dispatch.slot_use import PRIORITY_COUNT
 from pollenglade_core.dispatch.slot_use import SlotUse
+from pollenglade_core.numbers import MAX_INTEGER
+from pollenglade_core.numbers import MAX_SECONDS
+from pollenglade_core.numbers import is_in_range
 from pollenglade_core.serving.endpoint_statement import UNKNOWN_INCARNATION
 from pollenglade_core.serving.endpoint_statement import EndpointIdentity
 from pollenglade_core.serving.endpoint_statement import checked_pace
@@ -20,8 +23,8 @@
 MAX_NAME_CHARS = 255
 """Longest name of a node, a zone or a service."""
 
-MAX_INTEGER = 2**63 - 1
-"""Largest integer that every message can carry."""
+MAX_SLOTS = 1e9
+"""Most slots or requests that are taken for a figure of one node."""
 
 EVACUATIONS_FIELD = "evacuations"
 """Key of the records of evacuated zones in the map at the end of a state message."""
@@ -157,9 +160,17 @@
                 *statement,
             ]:
                 member = MeshMember.checked(node, zone, service, address, incarnation)
-                if member is None:
-                    return None
                 endpoint_incarnation, leaving, rate_limit = _decode_statement(statement)
+                figures_are_valid = (
+                    all(is_in_range(item, 0, MAX_SLOTS) for item in (running, waiting))
+                    and limit <= MAX_SLOTS
+                    and is_in_range(expected_s, 0.0, MAX_SECONDS)
+                    and is_in_range(failure_rate, 0.0, 1.0)
+                    and UNKNOWN_INCARNATION <= endpoint_incarnation <= MAX_INTEGER
+                    and version <= MAX_INTEGER
+                )
+                if member is None or not figures_are_valid:
+                    return None
                 pace = _decode_pace(statement)
                 load = EndpointLoad(
                     running,
@@ -196,7 +207,8 @@
         case [[int(incarnation), bool(leaving), None], *_]:
             return incarnation, leaving, None
         case [[int(incarnation), bool(leaving), float() | int() as rate_limit], *_]:
-            return incarnation, leaving, max(0.0, float(rate_limit))
+            is_valid = is_in_range(rate_limit, 0.0, inf)
+            return incarnation, leaving, float(rate_limit) if is_valid else 0.0
     return UNKNOWN_INCARNATION, False, None
 
 
@@ -210,8 +222,8 @@
 def _decode_source_age(elements: list[object]) -> float:
     for element in elements:
         match element:
-            case {"source-age": float() | int() as age_s}:
-                return max(0.0, float(age_s))
+            case {"source-age": float() | int() as age_s} if is_in_range(age_s, 0.0, inf):
+                return float(age_s)
     return inf
 
 
@@ -233,5 +245,5 @@
     return (
         isinstance(value, list)
         and len(value) == 2 * PRIORITY_COUNT
-        and all(isinstance(item, int | float) for item in value)
+        and all(is_in_range(item, 0.0, MAX_SLOTS) for item in value)
     )
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/statement_fields.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/statement_fields.py
@@ -19,6 +19,9 @@
 LOAD_PATTERN = re.compile(rb"(?:\s*\d{1,9}\s*,){3}\s*(\d{1,9}(?:\.\d{1,9})?)\s*")
 """Running and waiting requests and slots, and the pace in percent."""
 
+SLOTS_PATTERN = re.compile(rb"[^,]*,[^,]*,\s*(\d{1,9})\s*(?:,|$)")
+"""The third item of the same field."""
+
 USUAL_PACE = 100.0
 """Pace field of an endpoint at which work takes as long as usual."""
 
@@ -48,3 +51,11 @@
     return EndpointStatement(
         min(limits, default=None), leaving, has_legible_limit, warm_up_left_s, pace
     )
+
+
+def read_slots(names: HeaderNames, headers: Headers) -> int:
+    """Return the number of slots that a response states; 0 if it states none."""
+    for name, value in headers:
+        if name == names.load and (match := SLOTS_PATTERN.match(value)):
+            return int(match[1])
+    return 0
--- a/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
+++ b/packages/pollenglade-node/src/pollenglade_node/serving/crash_notices.py
@@ -10,6 +10,8 @@
 
 from pollenglade_core.admission.quarantine import CrashLedger
 from pollenglade_core.admission.quarantine import CrashNotice
+from pollenglade_core.numbers import MAX_SECONDS
+from pollenglade_core.numbers import is_in_range
 from pollenglade_core.randomness import RandomSource
 
 from ..membership.links import Links
@@ -116,6 +118,7 @@
             continue
         crash_id, fingerprint, age_s, cleared = item[:4]
         ids_are_valid = isinstance(crash_id, str) and isinstance(fingerprint, str)
-        if ids_are_valid and isinstance(age_s, int | float) and isinstance(cleared, bool):
+        is_age = is_in_range(age_s, -MAX_SECONDS, MAX_SECONDS)
+        if ids_are_valid and is_age and isinstance(cleared, bool):
             notices.append(CrashNotice(crash_id, fingerprint, float(age_s), cleared))
     return notices
--- a/packages/pollenglade-node/tests/test_node/test_mesh/test_node_state.py
+++ b/packages/pollenglade-node/tests/test_node/test_mesh/test_node_state.py
@@ -62,3 +62,37 @@
         for figure in (0.0, -1.0, 1e9):
             figures = (*pack_load(STATE.load, False), figure)
             self.assertEqual(unpack_load(figures), (STATE.load, False), figure)
+
+    def test_a_state_with_figures_out_of_range_is_applied(self) -> None:
+        """One figure that is no number made the sums of all nodes none, and all trees refused."""
+        wire = STATE.to_wire()
+        nan, inf = float("nan"), float("inf")
+        for position, value in (
+            (3, "10.1.0.26:70000"),
+            (3, "nowhere"),
+            (4, 2**64 - 1),
+            (4, -1),
+            (7, [2, 0, 28, nan, 0.0]),
+            (7, [2, 0, 28, inf, 0.0]),
+            (7, [2, 0, 28, -1.0, 0.0]),
+            (7, [2, 0, 28, 0.2, nan]),
+            (7, [2, 0, 28, 0.2, 1.5]),
+            (7, [-2, 0, 28, 0.2, 0.0]),
+            (7, [2, 2**63, 28, 0.2, 0.0]),
+            (7, [2, 0, 2**63, 0.2, 0.0]),
+            (8, 2**64 - 1),
+            (10, [2**64 - 1, False, None]),
+        ):
+            odd = [*wire[:position], value, *wire[position + 1 :]]
+            self.assertIsNone(NodeState.from_wire(odd), value)
+        odd_use = [*wire[:9], {"calls": [nan, 0, 0, 0, 0, 0], "jury": [0, 0, 0, 1, 0, 0]}, wire[10]]
+        decoded = NodeState.from_wire(odd_use)
+        assert decoded is not None
+        self.assertEqual(set(decoded.use_by_service), {"jury"})
+
+    def test_a_load_with_figures_out_of_range_is_applied(self) -> None:
+        figures = list(pack_load(STATE.load, False))
+        for position in range(len(figures)):
+            for value in (float("nan"), float("inf"), -2.0, 1e300):
+                odd = [*figures[:position], value, *figures[position + 1 :]]
+                self.assertIsNone(unpack_load(odd), (position, value))
