Leave out announcements that gossip cannot carry

One announcement with an address that is none, or with a name or number out of range, became a member: each gossip message that passed it on was rejected by its peers as a whole, and its address raised an exception where members are probed.

Cause: rows of announcements were checked less strictly than messages, and messages did not check addresses.

Change: messages require addresses with a host and a port; a row becomes a member only if a message can carry it, else it is logged and left out.

--- a/packages/pollenglade-core/src/pollenglade_core/membership/gossip_wire.py
+++ b/packages/pollenglade-core/src/pollenglade_core/membership/gossip_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -14,6 +15,8 @@
 MAX_COLLECTION_ITEMS = 4_096
 """Maximum number of members, of offers of one member and of digests in a message."""
 
+ADDRESS_PATTERN = re.compile(r"[0-9A-Za-z._:\[\]-]+:\d{1,5}", re.ASCII)
+
 MAX_AGE_S = 1e9
 
 MAX_INTEGER = 2**63 - 1
@@ -106,8 +109,8 @@
         fields.text("zone"),
         fields.text("region"),
         fields.text("host"),
-        fields.text("link_address"),
-        fields.text("control_address"),
+        fields.address("link_address"),
+        fields.address("control_address"),
         tuple(
             _parse_offer(item, f"{path}.offers[{index}]")
             for index, item in enumerate(fields.items("offers"))
@@ -135,6 +138,9 @@
     def text(self, name: str) -> str:
         return _parse_text(self.require(name), f"{self._path}.{name}")
 
+    def address(self, name: str) -> str:
+        return _parse_address(self.require(name), f"{self._path}.{name}")
+
     def integer(self, name: str, maximum: int = MAX_INTEGER) -> int:
         value = self.require(name)
         if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= maximum:
@@ -189,6 +195,13 @@
     return value
 
 
+def _parse_address(value: object, path: str) -> str:
+    text = _parse_text(value, path)
+    if ADDRESS_PATTERN.fullmatch(text) is None or not 0 < int(text.rpartition(":")[2]) < 2**16:
+        raise WireError(path, "expected host:port with a port from 1 to 65535")
+    return text
+
+
 def _parse_digest(value: object, path: str) -> int:
     if not isinstance(value, str) or len(value) != 16 or set(value) - set("0123456789abcdef"):
         raise WireError(path, "expected 16 hexadecimal digits")
--- a/packages/pollenglade-node/src/pollenglade_node/membership/presence.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/presence.py
@@ -9,6 +9,11 @@
 from collections.abc import Sequence
 from time import monotonic
 
+import structlog
+
+from pollenglade_core.membership.gossip_wire import WireError
+from pollenglade_core.membership.gossip_wire import member_from_wire
+from pollenglade_core.membership.gossip_wire import member_to_wire
 from pollenglade_core.membership.member import Member
 from pollenglade_core.membership.member import MemberState
 from pollenglade_core.membership.member import ServiceOffer
@@ -41,6 +46,8 @@
 
 ROW_PREFIX = "nodes/"
 
+log = structlog.get_logger()
+
 
 class Presence:
     """Renews the announcement of this node and seeds gossip with those of other nodes."""
@@ -164,16 +171,29 @@
     """
     announcements = [announcement_from_wire(row.value) for row in rows]
     return [
-        Member(
-            node=item.node,
-            incarnation=item.incarnation,
-            zone=item.zone,
-            region=item.region,
-            host=item.link_address.rpartition(":")[0],
-            link_address=item.link_address,
-            control_address=item.control_address,
-            offers=tuple(ServiceOffer(target.service, target.slots) for target in item.targets),
-        )
+        member
         for item in announcements
         if item is not None and not item.leaving and not item.is_stale(wall_s)
+        if (member := _member_of(item)) is not None
     ]
+
+
+def _member_of(announcement: NodeAnnouncement) -> Member | None:
+    """Return the member entry of an announcement; None if no gossip message can carry it."""
+    targets = announcement.targets
+    member = Member(
+        node=announcement.node,
+        incarnation=announcement.incarnation,
+        zone=announcement.zone,
+        region=announcement.region,
+        host=announcement.link_address.rpartition(":")[0],
+        link_address=announcement.link_address,
+        control_address=announcement.control_address,
+        offers=tuple(ServiceOffer(target.service, target.slots) for target in targets),
+    )
+    try:
+        # Peers reject the whole message of a node that passes such an entry on.
+        return member_from_wire(member_to_wire(member), "announcement")
+    except WireError as error:
+        log.warning("announcement_rejected", member=member.node[:200], reason=str(error))
+        return None
--- a/packages/pollenglade-node/tests/test_node/test_presence.py
+++ b/packages/pollenglade-node/tests/test_node/test_presence.py
@@ -63,6 +63,28 @@
         return [item.name for item in self.rows_by_name.values() if item.value == TOMBSTONE_VALUE]
 
 
+class OddAnnouncementTest(unittest.TestCase):
+    """Rows of another writer among the announcements."""
+
+    def test_one_odd_announcement_ends_the_gossip_of_all_nodes(self) -> None:
+        """Peers rejected each message that passed it on, and its address raised an exception."""
+        odd: list[dict[str, Any]] = [
+            {"link_address": "nowhere"},
+            {"link_address": "127.0.0.1:70000"},
+            {"control_address": "127.0.0.1:0"},
+            {"control_address": "127.0.0.1:\u0663"},
+            {"incarnation": 2**64},
+            {"node": "n" * 300},
+            {"targets": [{"service": "fees", "slots": -1, "state": "ready"}]},
+            {"region": []},
+        ]
+        rows = [row("proper", 1, WALL_S)]
+        for changes in odd:
+            item = row("odd", 1, WALL_S)
+            rows.insert(0, Row(item.name, 1, {**item.value, **changes}, "x"))
+        self.assertEqual([item.node for item in members_from_rows(rows, WALL_S)], ["proper"])
+
+
 class SweepTest(unittest.IsolatedAsyncioTestCase):
     async def test_only_old_rows_of_the_zone_are_overwritten(self) -> None:
         """Sweeping a row too early would hide a node that returns from the other nodes."""
