Keep less time for the end of a short stop

Cause: the margin before the kill was 0.8 s whatever the time for the stop is.

Change: the margin is 2/15 of the time for the stop and 0.8 s at most, so nothing changes from 6 s on.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -60,8 +60,13 @@
 """Largest fraction of the time for a stop in which new requests are accepted; the rest is left to
 finish them."""
 
-STOP_MARGIN_S = 0.8
-"""Time in seconds before the end of the grace period at which remaining work is cancelled."""
+MAX_STOP_MARGIN_S = 0.8
+"""Longest time in seconds before the end of the grace period at which remaining work is cancelled.
+"""
+
+STOP_MARGIN_FRACTION = 2 / 15
+"""Largest fraction of the grace period that this may be; work that has not ended by its last sixth
+may be cut off, what ends earlier may not."""
 
 DIVISION_DELAY_S = 0.1
 """Time in seconds in which changes of the members are collected before limits are divided anew.
@@ -82,6 +87,11 @@
 log = structlog.get_logger()
 
 
+def work_limit_s(stop_limit_s: float) -> float:
+    """Return the time in seconds after which a stop that may take `stop_limit_s` ends all work."""
+    return stop_limit_s - min(MAX_STOP_MARGIN_S, STOP_MARGIN_FRACTION * stop_limit_s)
+
+
 class MeshNode:
     """One node of the mesh; call `start`, then `stop_gracefully`, then `close`.
 
@@ -382,7 +392,7 @@
         self.serving.is_draining = True
         self._server.drain()
         self._on_endpoint_changed()
-        limit_s = self._settings.stop_limit_s - STOP_MARGIN_S
+        limit_s = work_limit_s(self._settings.stop_limit_s)
         linger_s = min(DRAIN_LINGER_S, limit_s * MAX_LINGER_FRACTION)
         self._entry.stop_accepting(linger_s, limit_s)
         await asyncio.sleep(linger_s)
