--- a/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/departure_exchange.py
@@ -113,14 +113,11 @@
     def on_query(self, payload: object, reply: Callable[[object], None]) -> None:
         """Apply a departure that a peer tells."""
         match payload:
-            case [
-                str(endpoint_id),
-                int(incarnation),
-                age_s,
-            ] if UNKNOWN_INCARNATION <= incarnation <= MAX_INTEGER and is_in_range(
-                age_s, -MAX_SECONDS, MAX_SECONDS
-            ):
-                self.apply(EndpointIdentity(endpoint_id, incarnation), max(0.0, age_s), "peer")
+            case [str(endpoint_id), int(incarnation), age_s]:
+                is_incarnation = UNKNOWN_INCARNATION <= incarnation <= MAX_INTEGER
+                if is_incarnation and is_in_range(age_s, -MAX_SECONDS, MAX_SECONDS):
+                    endpoint = EndpointIdentity(endpoint_id, incarnation)
+                    self.apply(endpoint, max(0.0, age_s), "peer")
         reply(True)
 
     def close(self) -> None:
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/node_state.py
@@ -23,7 +23,7 @@
 MAX_NAME_CHARS = 255
 """Longest name of a node, a zone or a service."""
 
-MAX_SLOTS = 1e9
+MAX_COUNT = 1e9
 """Most slots or requests that are taken for a figure of one node."""
 
 EVACUATIONS_FIELD = "evacuations"
@@ -162,8 +162,8 @@
                 member = MeshMember.checked(node, zone, service, address, incarnation)
                 endpoint_incarnation, leaving, rate_limit = _decode_statement(statement)
                 figures_are_valid = (
-                    all(is_in_range(item, 0, MAX_SLOTS) for item in (running, waiting))
-                    and limit <= MAX_SLOTS
+                    all(is_in_range(item, 0, MAX_COUNT) for item in (running, waiting))
+                    and limit <= MAX_COUNT
                     and is_in_range(expected_s, 0.0, MAX_SECONDS)
                     and is_in_range(failure_rate, 0.0, 1.0)
                     and UNKNOWN_INCARNATION <= endpoint_incarnation <= MAX_INTEGER
@@ -245,5 +245,5 @@
     return (
         isinstance(value, list)
         and len(value) == 2 * PRIORITY_COUNT
-        and all(is_in_range(item, 0.0, MAX_SLOTS) for item in value)
+        and all(is_in_range(item, 0.0, MAX_COUNT) for item in value)
     )
