Make buffers, estimates and learnt trees cheaper for ordinary requests

Change: a part of a body that is alone is handed on and kept without a buffer, estimates are computed only where they differ from the last value, the usage of a tree is filtered only where the policy does not lead to all of it.

--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/route_trees.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/route_trees.py
@@ -17,7 +17,6 @@
 from .learnt_trees import LearntTree
 from .tree_admission import TreeAdmission
 from .tree_cost import TreeCosts
-from .tree_cost import Usage
 from .tree_cost import UsageByService
 
 
@@ -70,24 +69,25 @@
         """Add trees learnt by other nodes; trees learnt by this node take precedence."""
         for key, tree in trees.items():
             usage = self._routed(tree.usage)
-            if usage and self._is_routed(key):
+            if usage and (self._policy is None or key in self._keys):
                 self._costs.restore(key, usage)
                 self._admission.restore(key, tree.residence_s)
 
     def learn(self, key: str, elapsed_s: float, usage: UsageByService) -> None:
         """Update a tree with a request that was served in `elapsed_s` seconds."""
+        if self._policy is not None and key not in self._keys:
+            return
         usage = self._routed(usage)
-        if not usage or not self._is_routed(key):
+        if not usage:
             return
         self._costs.learn(key, usage)
         self._admission.learn(key, elapsed_s, usage)
-        for service in self._admission.take_unreachable(key) - usage.keys():
-            self._costs.forget(key, service)
-
-    def _is_routed(self, key: str) -> bool:
-        return self._policy is None or key in self._keys
-
-    def _routed(self, usage: UsageByService) -> dict[str, Usage]:
-        if self._policy is None:
-            return dict(usage)
+        unreachable_services = self._admission.take_unreachable(key)
+        if unreachable_services:
+            for service in unreachable_services - usage.keys():
+                self._costs.forget(key, service)
+
+    def _routed(self, usage: UsageByService) -> UsageByService:
+        if self._policy is None or usage.keys() <= self._services:
+            return usage
         return {service: item for service, item in usage.items() if service in self._services}
--- a/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
+++ b/packages/pollenglade-core/src/pollenglade_core/dispatch/tree_admission.py
@@ -283,9 +283,9 @@
             del self._residence_s_by_route[route]
             self._unreachable_by_route.pop(route, None)
 
-    def take_unreachable(self, route: str) -> set[str]:
+    def take_unreachable(self, route: str) -> set[str] | None:
         """Return the services without usable endpoints that checks of a route found since."""
-        return self._unreachable_by_route.pop(route, set())
+        return self._unreachable_by_route.pop(route, None)
 
     def check(
         self,
--- a/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
+++ b/packages/pollenglade-core/src/pollenglade_core/serving/endpoint_queue.py
@@ -172,7 +172,9 @@
     def failure_rate(self, now: float) -> float:
         """Return the fraction of recent requests that the endpoint rejected or did not answer."""
         age_s = now - self._failure_rate_at - FAILURE_VALIDITY_S
-        return self._failure_rate * min(1.0, max(0.0, 1.0 - age_s / FAILURE_DECAY_S))
+        if age_s <= 0.0 or not self._failure_rate:
+            return self._failure_rate
+        return self._failure_rate * max(0.0, 1.0 - age_s / FAILURE_DECAY_S)
 
     def record_result(self, failed: bool, now: float) -> None:
         """Update the failure rate with the result of a request."""
@@ -250,8 +252,10 @@
         return self._start_waiting(now)
 
     def _measure(self, usual_s: float, now: float) -> None:
+        weight = EXPECTED_WEIGHT
         age_s = 0.0 if self._measured_at is None else now - self._measured_at
-        weight = min(MAX_EXPECTED_WEIGHT, max(EXPECTED_WEIGHT, age_s / EXPECTED_TIME_CONSTANT_S))
+        if age_s > EXPECTED_WEIGHT * EXPECTED_TIME_CONSTANT_S:
+            weight = min(MAX_EXPECTED_WEIGHT, age_s / EXPECTED_TIME_CONSTANT_S)
         self._usual_s += (usual_s - self._usual_s) * weight
         self._measured_at = now
 
--- a/packages/pollenglade-net/src/pollenglade_net/body_buffer.py
+++ b/packages/pollenglade-net/src/pollenglade_net/body_buffer.py
@@ -45,21 +45,30 @@
 
 
 class ReservedBodyBuffer(BodyBuffer):
-    """Buffer whose memory is reserved in a budget until the body is taken or dropped."""
+    """Buffer whose memory is reserved in a budget until the body is taken or dropped.
 
-    __slots__ = ("_budget", "_reserved_bytes")
+    A body may have up to `limit_bytes`.
+    """
+
+    __slots__ = ("_budget", "_limit_bytes", "_reserved_bytes")
 
-    def __init__(self, budget: MemoryBudget) -> None:
-        super().__init__()
+    def __init__(self, budget: MemoryBudget, limit_bytes: int) -> None:
+        self._first_part, self._parts = b"", None
         self._budget = budget
+        self._limit_bytes = limit_bytes
         self._reserved_bytes = 0
 
     def try_append(self, data: bytes) -> bool:
-        """Add the next part; return False if the budget has no room for it.
+        """Add the next part; return False if the body is too large or the budget has no room.
 
         The part is kept all the same, so that the caller can pass the body on or drop it.
         """
+        if self._parts is None and not self._first_part and len(data) <= UNCOUNTED_BYTES // 2:
+            self._first_part = data
+            return True
         self.append(data)
+        if len(self) > self._limit_bytes:
+            return False
         size_bytes = body_memory_bytes(len(self))
         if size_bytes <= UNCOUNTED_BYTES:
             return True
@@ -70,7 +79,7 @@
 
     def clear(self) -> None:
         """Drop all parts and release their memory."""
-        super().clear()
+        self._first_part, self._parts = b"", None
         if self._reserved_bytes:
             self._budget.try_resize(self._reserved_bytes, 0)
             self._reserved_bytes = 0
--- a/packages/pollenglade-net/src/pollenglade_net/client_connection.py
+++ b/packages/pollenglade-net/src/pollenglade_net/client_connection.py
@@ -85,7 +85,7 @@
         self._interim_responses = 0
         self._discarded_responses = 0
         self._discarded_bytes = 0
-        self._undelivered_body = BodyBuffer()
+        self._undelivered_body: BodyBuffer | None = None
         self._sink_paused = False
         self._reading_paused = False
         self._continuation: asyncio.Handle | None = None
@@ -123,7 +123,8 @@
             self._reader.receive_eof()
             while self._process_event():
                 pass
-        self._deliver_body()
+        if self._undelivered_body is not None:
+            self._deliver_body()
         detail = str(self._loss or "connection closed by the server")
         self._fail_response(FailureReason.CLOSED, detail)
 
@@ -192,9 +193,11 @@
         """Process the bytes received so far; other callbacks run in between if they are many."""
         for _ in range(MAX_EVENTS_PER_TURN):
             if not self._process_event():
-                self._deliver_body()
+                if self._undelivered_body is not None:
+                    self._deliver_body()
                 return
-        self._deliver_body()
+        if self._undelivered_body is not None:
+            self._deliver_body()
         self._continuation = asyncio.get_running_loop().call_soon(self._continue)
         self._update_reading()
 
@@ -214,20 +217,22 @@
         try:
             event = self._reader.next_event()
         except ProtocolError as error:
-            self._deliver_body()
+            if self._undelivered_body is not None:
+                self._deliver_body()
             self._fail_response(FailureReason.PROTOCOL, str(error))
             return False
         if event is None:
             return False
         if not isinstance(event, ResponseHead):
             if event:
-                self._on_body(event)
+                self._on_body(event, sink)
         elif event.status < 200:
             self._on_interim_response()
         else:
             self._on_response_head(event, sink)
         if self._reader.is_message_complete:
-            self._deliver_body()
+            if self._undelivered_body is not None:
+                self._deliver_body()
             # The sink may have cancelled the request.
             if self._sink is not None:
                 self._on_response_end()
@@ -252,11 +257,17 @@
 
     def _deliver_body(self) -> None:
         """Hand the parts of the body that were read in this turn to the sink as one."""
-        if self._undelivered_body and self._sink is not None:
-            self._sink.on_data(self._undelivered_body.take())
+        body, self._undelivered_body = self._undelivered_body, None
+        if body is not None and self._sink is not None:
+            self._sink.on_data(body.take())
 
-    def _on_body(self, data: bytes) -> None:
+    def _on_body(self, data: bytes, sink: ResponseSink) -> None:
         if not self._discarding_response:
+            if self._undelivered_body is None:
+                if self._reader.is_message_complete or not self._reader.pending_bytes:
+                    sink.on_data(data)
+                    return
+                self._undelivered_body = BodyBuffer()
             self._undelivered_body.append(data)
             return
         self._discarded_bytes += len(data)
@@ -312,7 +323,7 @@
 
     def _fail_response(self, reason: FailureReason, detail: str) -> None:
         sink, self._sink = self._sink, None
-        self._undelivered_body.clear()
+        self._undelivered_body = None
         self._stop_timer()
         self._close_with_reset()
         if sink is not None:
@@ -327,7 +338,7 @@
         if self._sink is not sink:
             return
         self._sink = None
-        self._undelivered_body.clear()
+        self._undelivered_body = None
         self._stop_timer()
         self._close_with_reset()
 
--- a/packages/pollenglade-net/src/pollenglade_net/link_message.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link_message.py
@@ -389,7 +389,10 @@
     unspent, level, *numbers = values
     if not isinstance(unspent, int) or not isinstance(level, int):
         raise LinkError("feedback is not a number")
-    fractions = [float(item) if is_in_range(item, 0.0, MAX_SECONDS) else 0.0 for item in numbers]
+    fractions = [
+        float(item) if isinstance(item, int | float) and 0.0 <= item <= MAX_SECONDS else 0.0
+        for item in numbers
+    ]
     fraction, target_s = (*fractions, 0.0)[:2]
     usage, load = _unpack_usage_and_load(message, position + 4)
     return Feedback(unspent, level, fraction, target_s, usage, load)
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry_call.py
@@ -180,7 +180,7 @@
     def on_head(self, status: int, headers: Headers) -> None:
         """Start a streamed response to the caller, or buffer it for `on_result`."""
         if self.on_result is not None:
-            body = ReservedBodyBuffer(self._entry.memory_budget)
+            body = ReservedBodyBuffer(self._entry.memory_budget, MAX_RESPONSE_BYTES)
             self._buffered_response = _BufferedResponse(status, headers, body)
             return
         self._status = status
@@ -202,8 +202,7 @@
 
     def _buffer(self, body: ReservedBodyBuffer, data: bytes) -> None:
         """Buffer a part of a body; give the attempt up if the body is too large or has no end."""
-        is_reserved = body.try_append(data)
-        if is_reserved and len(body) <= MAX_RESPONSE_BYTES:
+        if body.try_append(data):
             if self._attempt is not None:
                 self._attempt.credit(len(data))
             return
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/endpoint_call.py
@@ -132,7 +132,7 @@
         self.sent_at = 0.0
         self._status = 0
         self._headers: Headers = []
-        self._body = ReservedBodyBuffer(owner.memory_budget)
+        self._body = ReservedBodyBuffer(owner.memory_budget, MAX_BUFFERED_RESPONSE_BYTES)
         self._streaming = False
         self._relay_window = RelayWindow()
         self._nested_usage: UsageByService = {}
@@ -209,8 +209,7 @@
     def on_data(self, data: bytes) -> None:
         """Buffer a part of the body, or relay it if the body is large or memory is short."""
         if not self._streaming:
-            is_reserved = self._body.try_append(data)
-            if not is_reserved or len(self._body) > MAX_BUFFERED_RESPONSE_BYTES:
+            if not self._body.try_append(data):
                 self._start_streaming()
             return
         self._relay(data)
--- a/packages/pollenglade-node/src/pollenglade_node/mesh/load_report.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/load_report.py
@@ -41,19 +41,24 @@
     """
     if len(figures) < LOAD_FIELD_COUNT:
         return None
-    for figure in figures:
-        if not NO_RATE_LIMIT <= figure <= MAX_FIGURE:
-            return None
     running, waiting, limit, expected_s, failure_rate = figures[:LOAD_FIELD_COUNT]
     statement = figures[LOAD_FIELD_COUNT:]
+    for figure in (running, waiting, limit, expected_s):
+        if not 0.0 <= figure <= MAX_FIGURE:
+            return None
+    for figure in statement:
+        if not NO_RATE_LIMIT <= figure <= MAX_FIGURE:
+            return None
+    if not 0.0 <= failure_rate <= 1.0:
+        return None
     rate_limit = statement[0] if statement else NO_RATE_LIMIT
     leaving = statement[1] if len(statement) > 1 else 0.0
     load = EndpointLoad(
-        max(0, int(running)),
-        max(0, int(waiting)),
+        int(running),
+        int(waiting),
         max(1, int(limit)),
-        max(0.0, expected_s),
-        min(1.0, max(0.0, failure_rate)),
+        expected_s,
+        failure_rate,
         None if rate_limit < 0.0 else rate_limit,
         checked_pace(statement[2]) if len(statement) > 2 else None,
     )
