Let a stopping node work until shortly before the kill

Cause: the node ended all open requests 0.8 s before the end of the grace period.

Change: the margin is 0.15 s, or a twentieth of the grace period if that is less; the wait for running work ends exactly then and not at the next check. It works because nothing that the node does after the responses is needed: a kill closes its connections as its own end does.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -60,11 +60,13 @@
 """Largest fraction of the time for a stop in which new requests are accepted; the rest is left to
 finish them."""
 
-MAX_STOP_MARGIN_S = 0.8
+MAX_STOP_MARGIN_S = 0.15
 """Longest time in seconds before the end of the grace period at which remaining work is cancelled.
+
+It covers the time until the process handles SIGTERM, and the responses to what is cancelled.
 """
 
-STOP_MARGIN_FRACTION = 2 / 15
+STOP_MARGIN_FRACTION = 1 / 20
 """Largest fraction of the grace period that this may be; work that has not ended by its last sixth
 may be cut off, what ends earlier may not."""
 
@@ -397,8 +399,7 @@
         self._entry.stop_accepting(linger_s, limit_s)
         await asyncio.sleep(linger_s)
         self.serving.give_back_waiting()
-        while monotonic() - started_at < limit_s and self._has_unfinished_work():
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self._finish_work(started_at + limit_s)
         if self._entry.is_busy:
             log.warning(
                 "requests_interrupted",
@@ -408,6 +409,11 @@
             self._entry.end_open_requests()
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
+    async def _finish_work(self, until: float) -> None:
+        """Wait until no work is left, up to a time in seconds on the monotonic clock."""
+        while self._has_unfinished_work() and (remaining_s := until - monotonic()) > 0.0:
+            await asyncio.sleep(min(DRAIN_POLL_INTERVAL_S, remaining_s))
+
     def _has_unfinished_work(self) -> bool:
         """Whether requests or calls are running, or responses to them have not been read yet."""
         return (
