Let runs respond after a stop has ended the requests that they made

Callers saw: the client of another node, whose request ran beside a stopping node and had made a request of its own, got 502 without a signature from its node, although its endpoint answered 500 as soon as its own request was ended with 502.

Cause: the process closed its links right after it had answered its open requests, some milliseconds before the runs that had made them could respond. Every response that depends on one of these was lost so.

The stop still ends at once when nothing is left.

--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -76,6 +76,9 @@
 """Largest fraction of the grace period that this may be; work that has not ended by its last sixth
 may be cut off, what ends earlier may not."""
 
+RESPONSES_FRACTION = 2 / 3
+"""Fraction of this margin in which the responses to cancelled work leave the process."""
+
 DIVISION_DELAY_S = 0.1
 """Time in seconds in which changes of the members are collected before limits are divided anew.
 
@@ -416,6 +419,9 @@
                 first=self._entry.describe_open_requests(MAX_LOGGED_REQUESTS),
             )
             self._entry.end_open_requests()
+        # Runs whose requests have been ended respond next, to callers of this and other nodes.
+        responses_s = RESPONSES_FRACTION * (self._settings.stop_limit_s - limit_s)
+        await self._finish_work(started_at + limit_s + responses_s)
         log.info("node_drained", seconds=round(monotonic() - started_at, 1))
 
     async def _finish_work(self, until: float) -> None:
