Close links only when their peers have read the last responses

Callers saw: a response that a stopping node had written to a link just before its end could be lost, and the node of its client answered 502.

Cause: the node closed the connection of a link as soon as the operating system had taken the response. A message of the peer that arrives then (a ping, a state, a request) makes the operating system reset the connection and drop what the peer has not received.

Change: at its end a node closes the sending side of each link, discards what still arrives, and waits up to 0.1 s until its peers have closed theirs. Calls that are open then end as before, and open no further links.

--- a/packages/pollenglade-net/src/pollenglade_net/link.py
+++ b/packages/pollenglade-net/src/pollenglade_net/link.py
@@ -125,6 +125,7 @@
         self._partial_call_by_stream: dict[int, PartialCall] = {}
         self._body_bytes_by_stream: dict[int, int] = {}
         self._writing_paused = False
+        self._is_finishing = False
         self._reply_callback_by_stream: dict[int, Callable[[object], None]] = {}
         self._last_received_at = monotonic()
         self._pending_ping_at: float | None = None
@@ -140,6 +141,7 @@
         return (
             self.peer is not None
             and self._transport is not None
+            and not self._is_finishing
             and not self._transport.is_closing()
         )
 
@@ -196,6 +198,8 @@
 
     def data_received(self, data: bytes) -> None:
         self._last_received_at = monotonic()
+        if self._is_finishing:
+            return
         try:
             messages = self._decoder.feed(data)
             self._streams_cancelled_in_batch = cancelled_streams(messages)
@@ -499,7 +503,8 @@
         pending_messages, self._pending_messages = self._pending_messages, []
         self._flush_count += 1
         data = pending_messages[0] if len(pending_messages) == 1 else b"".join(pending_messages)
-        if data and self._transport is not None and not self._transport.is_closing():
+        is_writable = self._transport is not None and not self._transport.is_closing()
+        if data and self._transport is not None and is_writable and not self._is_finishing:
             self._transport.write(data)
         self._queue_body_part()
 
@@ -547,6 +552,21 @@
             self._flush()
         self._transport.close()
 
+    def finish(self, reason: str) -> None:
+        """End open calls as `close` does, and the sending side; the peer closes the link.
+
+        What arrives until then is discarded. After a close it would reset the connection, and the
+        peer could lose what it has not read yet.
+        """
+        if not self.is_open or self._transport is None:
+            self.close(reason)
+            return
+        self._close_calls(reason)
+        if self._pending_messages:
+            self._flush()
+        self._is_finishing = True
+        self._transport.write_eof()
+
     def _close_calls(self, reason: str) -> None:
         outgoing_calls, self._outgoing_call_by_stream = self._outgoing_call_by_stream, {}
         incoming_calls, self._incoming_call_by_stream = self._incoming_call_by_stream, {}
--- a/packages/pollenglade-node/src/pollenglade_node/membership/links.py
+++ b/packages/pollenglade-node/src/pollenglade_node/membership/links.py
@@ -54,6 +54,12 @@
 
 CHECK_INTERVAL_S = 0.1
 
+CLOSE_LIMIT_S = 0.1
+"""Time within which peers close their links to a node that ends."""
+
+CLOSE_POLL_INTERVAL_S = 0.005
+"""Time in seconds between checks whether they have."""
+
 DEFAULT_MAX_ACCEPTED_LINKS = 1024
 """Number of links that other nodes may have opened; each of 880 nodes opens one."""
 
@@ -166,7 +172,7 @@
     def _check_links(self) -> None:
         self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check_links)
         now = monotonic()
-        for link in [*self._link_by_node.values(), *self._accepted_links]:
+        for link in self._all_links():
             if link.is_ping_unanswered and link.peer is not None:
                 self.on_peer_suspected(link.peer.node)
             has_calls_at_peer = link.has_calls_at_peer
@@ -367,9 +373,12 @@
 
     def send_drain(self) -> None:
         """Notify all peers that this node accepts no further calls."""
-        for link in [*self._link_by_node.values(), *self._accepted_links]:
+        for link in self._all_links():
             link.send_drain()
 
+    def _all_links(self) -> list[Link]:
+        return [*self._link_by_node.values(), *self._accepted_links]
+
     @property
     def open_links(self) -> int:
         """Number of open links in both directions."""
@@ -378,13 +387,12 @@
     @property
     def has_unsent_output(self) -> bool:
         """Whether any peer has still to read messages that have been written."""
-        links = [*self._link_by_node.values(), *self._accepted_links]
-        return any(link.has_unsent_output for link in links)
+        return any(link.has_unsent_output for link in self._all_links())
 
     @property
     def is_busy(self) -> bool:
         """Whether any link has open calls."""
-        return any(link.is_busy for link in [*self._link_by_node.values(), *self._accepted_links])
+        return any(link.is_busy for link in self._all_links())
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(coroutine)
@@ -392,7 +400,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def close(self) -> None:
-        """Stop listening and close all links."""
+        """Stop listening and close all links, each when its peer has read what was sent."""
         if self._check_timer is not None:
             self._check_timer.cancel()
         if self._server is not None:
@@ -401,7 +409,14 @@
             task.cancel()
         for link in [*self._accepted_at_by_new_link]:
             link.close("the node stops")
-        for link in [*self._link_by_node.values(), *self._accepted_links]:
+        # What the end of calls causes must not open further links.
+        self.peers_by_node.clear()
+        for link in self._all_links():
+            link.finish("the node stops")
+        closes_at = monotonic() + CLOSE_LIMIT_S
+        while self._all_links() and monotonic() < closes_at:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+        for link in self._all_links():
             link.close("the node stops")
         await asyncio.sleep(0)
 
--- a/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
+++ b/packages/pollenglade-node/tests/test_node/test_membership/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 import unittest.mock
 from collections.abc import Callable
@@ -27,6 +28,9 @@
 from pollenglade_net.link import Link
 from pollenglade_net.link_message import Feedback
 from pollenglade_net.link_message import Hello
+from pollenglade_net.link_message import Kind
+from pollenglade_net.link_message import pack
+from pollenglade_net.link_message import pack_request
 from pollenglade_node.membership.links import CHECK_INTERVAL_S
 from pollenglade_node.membership.links import Links
 from pollenglade_node.membership.links import PeerAddress
@@ -214,3 +218,48 @@
             self.entry.query_node("serving", "unknown", None, replies.append)
         await wait_until(lambda: len(self.runner.calls) == 5 and len(replies) == 5)
         self.assertEqual(len(opened_links), 1)
+
+
+@dataclass
+class ResponseRunner:
+    """Responds to each call with a fixed body."""
+
+    body: bytes
+
+    def run(self, context: CallContext, request: HttpRequest, sink: AttemptSink) -> Attempt:
+        sink.on_response(200, [], self.body, Feedback())
+        return EndlessCall()
+
+
+class ClosingLinksTest(unittest.IsolatedAsyncioTestCase):
+    """Links that close while a peer has still to read a response."""
+
+    async def test_a_message_that_arrives_after_the_close_cuts_off_the_last_response(self) -> None:
+        """The operating system reset the connection and dropped what the peer had not read."""
+        body = b"x" * 200_000
+        links = Links(Hello("serving", 1, "z1"), ResponseRunner(body))
+        await links.start(Address("127.0.0.1", 0))
+        self.addAsyncCleanup(links.close)
+        assert links._server is not None
+        listener = links._server.sockets[0]
+        # Accepted connections inherit the size; the whole response then leaves the process.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        peer = socket.socket()
+        self.addCleanup(peer.close)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(peer, listener.getsockname())
+        request = pack_request(1, context("a"), HttpRequest("GET", b"/", []), monotonic())
+        await loop.sock_sendall(peer, Hello("entry", 1, "z1").to_wire() + request)
+        await wait_until(lambda: links.open_links == 1 and not links.has_unsent_output)
+        closing = asyncio.create_task(links.close())
+        await asyncio.sleep(0.02)
+        await loop.sock_sendall(peer, pack([Kind.PING, 0]))
+        received = b""
+        async with asyncio.timeout(WAIT_S):
+            while data := await loop.sock_recv(peer, 65536):
+                received += data
+        self.assertIn(body, received)
+        peer.close()
+        await closing
