Accept no call during a drain that may outlast the process

Callers saw, at the own interface: a call sent 0.5 s after SIGTERM, with a deadline of 10 s and a drain limit of 6 s, lost its connection at 6 s without a response, while its target was at work. With the default limit of 30 s the same meets a call with the longest deadline, 25 s, that arrives after 5 s.

Cause: the limit was taken to be longer than any deadline, but a draining entry node accepts calls until it exits.

Change: Drain names the earliest time at which the node may exit although calls run, and the entry role refuses calls and nested calls with a later deadline as not run (503, `draining`); calls with an earlier deadline are served as before. It works because no call outlives its deadline.

--- a/packages/pollenglade-core/src/pollenglade_core/drain.py
+++ b/packages/pollenglade-core/src/pollenglade_core/drain.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 MIN_LINGER_S = 3.0
 """Least time for which a stopped node still responds, so that every sender learns of the stop."""
@@ -98,7 +99,8 @@
 
     The node is leaving until no call runs or the drain limit has passed, and then lingers. A caller
     that has not learned of the stop may still send a call while the node lingers; the node exits
-    only after that call has ended, or at the limit. Times are in seconds on a monotonic clock.
+    only after that call has ended, or at the limit, and accepts none whose deadline lies behind
+    `ends_at`. Times are in seconds on a monotonic clock.
     """
 
     def __init__(self, linger_s: float = MIN_LINGER_S, limit_s: float = DRAIN_LIMIT_S) -> None:
@@ -109,12 +111,18 @@
         self._wake_at: float | None = None
         self._drain_deadline = 0.0
         self._linger_until = 0.0
+        self._ends_at = inf
 
     @property
     def wake_at(self) -> float | None:
         """Time at which the node must deliver `Tick`; None if no timer is needed."""
         return self._wake_at
 
+    @property
+    def ends_at(self) -> float:
+        """Earliest time at which the node may exit although calls run; infinite while serving."""
+        return self._ends_at
+
     def handle(self, event: DrainEvent, now: float) -> list[DrainAction]:
         """Process an event and return the resulting actions."""
         if isinstance(event, RunningCalls):
@@ -131,6 +139,7 @@
     def _start_leaving(self, now: float) -> list[DrainAction]:
         self.state = DrainState.LEAVING
         self._wake_at = self._drain_deadline = now + self._limit_s
+        self._ends_at = now + max(self._limit_s, self._linger_s)
         actions: list[DrainAction] = [RefuseNew(), AnnounceLeaving(), SendDrainOnLinks()]
         return actions + (self._start_lingering(now) if self._running_calls == 0 else [])
 
--- a/packages/pollenglade-core/tests/test_core/test_drain.py
+++ b/packages/pollenglade-core/tests/test_core/test_drain.py
@@ -50,6 +50,7 @@
                 earliest = min(idle_at, stop_requested_at + DRAIN_LIMIT_S) + MIN_LINGER_S
                 self.assertGreaterEqual(now, earliest)
                 self.assertTrue(running == 0 or now >= stop_requested_at + DRAIN_LIMIT_S)
+                self.assertTrue(running == 0 or now >= drain.ends_at)
             if stop_requested_at is not None and running == 0:
                 idle_at = min(idle_at, now)
         while drain.wake_at is not None:
--- a/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
+++ b/packages/pollenglade-node/src/pollenglade_node/entry/entry.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from time import monotonic
 from typing import Protocol
 
@@ -40,6 +41,13 @@
 from .refusal_response import send_refusal
 
 RETRY_AFTER_S = 0.5
+
+NODE_STOPS = Refusal(
+    Reason.DRAINING,
+    retry_after_s=RETRY_AFTER_S,
+    detail="the node may stop before the deadline of the call; send it to another node",
+)
+
 RESERVED_HEADER_PREFIX = b"pollenglade-"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 
@@ -123,7 +131,11 @@
 
 
 class Entry:
-    """Accepts the requests at this node and owns their open calls."""
+    """Accepts the requests at this node and owns their open calls.
+
+    `ends_at` is the earliest time, in seconds on the monotonic clock, at which the process may end
+    although calls are open; calls with a later deadline are refused.
+    """
 
     def __init__(
         self,
@@ -148,6 +160,7 @@
         self.source = source
         self.memory_budget = memory_budget
         self.configuration = Configuration()
+        self.ends_at = inf
         self.open_calls: set[EntryCall] = set()
         self._call_id_prefix = f"{node}.{incarnation:x}."
         self._last_call_number = 1
@@ -225,6 +238,9 @@
             idempotent=bool(rule.idempotent),
             fingerprint=request_fingerprint(identity.organisation, service_path.service, forwarded),
         )
+        if context.deadline > self.ends_at:
+            self._refuse_request(exchange, NODE_STOPS)
+            return
         call = self._open_call(exchange, context, forwarded)
         call.abandon_wait = self._quota.spend(
             Account(profile.name, identity.organisation),
@@ -278,6 +294,10 @@
         if isinstance(nested_call, Refusal):
             self._refuse_request(exchange, nested_call)
             return
+        if nested_call.context.deadline > self.ends_at:
+            nested_call.return_unspent(parent_context, nested_call.context.allowance.remaining)
+            self._refuse_request(exchange, NODE_STOPS)
+            return
         call = self._open_call(exchange, nested_call.context, forwarded)
         _attach_nested_call(call, nested_call, parent_context, parent_call.nested_calls)
         self._start_call(call)
--- a/packages/pollenglade-node/src/pollenglade_node/node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/node.py
@@ -320,13 +320,15 @@
     async def stop_gracefully(self) -> None:
         """Refuse new calls, notify all peers, release the quota slots and wait for running calls.
 
-        Running calls get at most `drain_limit_s` to end; the linger time follows.
+        Running calls get at most `drain_limit_s` to end; the linger time follows. New calls are
+        accepted if their deadline lies before that.
         """
         log.info("node_draining")
         started_at = monotonic()
         drain = Drain(limit_s=self._settings.drain_limit_s)
         drain.handle(RunningCalls(self._running_calls()), started_at)
         self._execute_drain_actions(drain.handle(StopRequested(), started_at))
+        self.entry.ends_at = drain.ends_at
         await self.gossip.exchange_with_zone(self._settings.zone)
         await self.quota.release(QUOTA_RELEASE_TIMEOUT_S)
         while drain.state is not DrainState.CLOSED:
--- a/tests/test_system/test_draining.py
+++ b/tests/test_system/test_draining.py
@@ -19,6 +19,9 @@
 """Guarantee 10: time after which a draining target gets no new call, in seconds."""
 
 LONG_WORK_MS = 7_000
+DRAIN_LIMIT_S = 6.0
+"""Longest time for a stop in seconds, less than the deadline of a call to the path `long`."""
+
 PAUSE_S = 0.02
 WORKERS = 4
 ROUNDS = 3
@@ -88,6 +91,25 @@
         self.assertTrue(later_executions)
 
 
+class LateCallTest(ZonedCase):
+    async def test_a_stop_cuts_off_a_call_that_it_accepted_shortly_before_its_limit(self) -> None:
+        """Its deadline was not looked at; a call may run until then, whatever it usually takes."""
+        fleet = await self.start_fleet(("a1", "a2"), ("a2",))
+        fleet.nodes["a3"] = await fleet.network.start_node(
+            "a3", "a", {"POLLENGLADE_DRAIN_LIMIT_S": str(DRAIN_LIMIT_S)}
+        )
+        await fleet.wait_joined()
+        await fleet.wait_calls_succeed()
+        fleet.nodes["a3"].process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        responses = await asyncio.gather(
+            fleet.call("a3", "/job/1"), fleet.call("a3", "/long/1", LONG_WORK_MS)
+        )
+        found = [describe_response(response) for response in responses]
+        self.assertEqual(found, ["200", "503 draining"])
+        self.assertNotIn("/long/1", [entry.path for entry in fleet.executions()])
+
+
 class RollingRestartTest(ZonedCase):
     async def test_rolling_restarts_cut_no_call_off(self) -> None:
         """A listener that closes before its callers are notified resets their connections."""
