Try to connect to the zone relay of a test again while it gets no processor time

No product code takes part, and the test had not begun.

Change: ZoneNetwork repeats requests of which nothing was sent, for 10 s at most. The checks of the partition stay as they are.

--- a/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
+++ b/packages/pollenglade-emulator/src/pollenglade_emulator/zone_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -19,6 +20,11 @@
 from .relay import RelayMode
 from .zone_relay import Rule
 
+REQUEST_LIMIT_S = 10.0
+"""Time limit for a request to the relay, including repeated attempts to connect."""
+
+CONNECT_RETRY_DELAY_S = 0.1
+
 RELAY_NAME = "zone-relay"
 PLATFORM_ZONE = "platform"
 """Name of the platform as a destination in rules."""
@@ -134,9 +140,15 @@
     async def _send(self, method: str, target: str, document: object) -> None:
         client = HttpClient()
         try:
-            response = await client.request(
-                self._control, method, target, None, orjson.dumps(document)
-            )
+            async with asyncio.timeout(REQUEST_LIMIT_S):
+                while True:
+                    response = await client.request(
+                        self._control, method, target, None, orjson.dumps(document), REQUEST_LIMIT_S
+                    )
+                    if not isinstance(response, HttpFailure) or response.sent:
+                        break
+                    # The relay accepts no connection while it gets no processor time.
+                    await asyncio.sleep(CONNECT_RETRY_DELAY_S)
         finally:
             await client.close()
         if isinstance(response, HttpFailure) or response.status != 200:
--- a/packages/pollenglade-emulator/tests/test_emulator/test_zone_relay.py
+++ b/packages/pollenglade-emulator/tests/test_emulator/test_zone_relay.py
@@ -7,11 +7,18 @@
 import unittest
 
 from pollenglade_emulator.ports import PortPool
+from pollenglade_emulator.processes import Processes
 from pollenglade_emulator.relay import RelayMode
+from pollenglade_emulator.zone_network import ZoneNetwork
 from pollenglade_emulator.zone_network import rules_between
 from pollenglade_emulator.zone_relay import RouteDocument
 from pollenglade_emulator.zone_relay import Rule
 from pollenglade_emulator.zone_relay import ZoneRelay
+from pollenglade_net.address import Address
+from pollenglade_net.async_handler import async_handler
+from pollenglade_net.http_message import HttpRequest
+from pollenglade_net.http_message import HttpResponse
+from pollenglade_net.http_server import HttpServer
 
 from .test_relay import echo
 
@@ -87,3 +94,26 @@
         started_s = loop.time()
         self.assertTrue(await self.echoes(connection, LIMIT_S))
         self.assertGreaterEqual(loop.time() - started_s, 0.2)
+
+
+class ZoneNetworkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_relay_that_accepts_no_connection_at_first_fails_the_test(self) -> None:
+        """Beside heavy load, its process may get no processor time for a second."""
+        ports = PortPool()
+        self.addCleanup(ports.close)
+        control = Address("127.0.0.1", ports.take())
+        requests: list[bytes] = []
+
+        async def respond(request: HttpRequest) -> HttpResponse:
+            requests.append(request.target)
+            return HttpResponse(200)
+
+        network = ZoneNetwork(Processes(), ZONES, control)
+        healing = asyncio.create_task(network.heal())
+        await asyncio.sleep(0.2)
+        server = HttpServer(async_handler(respond))
+        self.addAsyncCleanup(server.close)
+        await server.start(control.host, control.port)
+        async with asyncio.timeout(LIMIT_S):
+            await healing
+        self.assertEqual(requests, [b"/rules"])
