Give the other requests of a test about idle bodies time beside load

Seen: test_a_body_that_stops_to_arrive_takes_memory_from_others failed once beside a load average of 25 to 32; its stopped body was answered 408 before the test had looked.

Cause: the test has 0.3 s, the idle time of its server, to send two other requests and to look at the memory. A trial with one pause of 0.9 s of the event loop fails in the same way: the server is right to give the body up by then.

Change: the idle time is 2 s. All checks stay: one request refused for memory, a small one served, 408 for the stopped one, the memory back.

--- a/packages/pollenglade-net/tests/test_net/test_http.py
+++ b/packages/pollenglade-net/tests/test_net/test_http.py
@@ -189,7 +189,8 @@
 
     async def test_a_body_that_stops_to_arrive_takes_memory_from_others(self) -> None:
         """The memory for bodies is limited; a caller that sends no more must not keep its part."""
-        limits = ServerLimits(idle_timeout_s=0.3)
+        # Long enough for the other requests beside heavy load; the body is given up after them.
+        limits = ServerLimits(idle_timeout_s=2.0)
         server = HttpServer(async_handler(echo), limits, MemoryBudget(400_000))
         self.addAsyncCleanup(server.close)
         address = Address("127.0.0.1", await server.start("127.0.0.1", 0))
