--- a/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
+++ b/packages/pollenglade-node/src/pollenglade_node/mesh/mesh_node.py
@@ -396,10 +396,13 @@
         self._loop_delay.start()
         log.info("node_started", incarnation=self.member.incarnation, service=settings.service)
 
-    async def stop_gracefully(self) -> None:
-        """Drain the node; return when no work is running or the grace period is about to end."""
-        started_at = monotonic()
-        log.info("node_draining")
+    async def stop_gracefully(self, requested_at: float | None = None) -> None:
+        """Drain the node; return when no work is running or the grace period is about to end.
+
+        The grace period begins at `requested_at`, in seconds on the monotonic clock, or now.
+        """
+        started_at = monotonic() if requested_at is None else requested_at
+        log.info("node_draining", delay_s=round(monotonic() - started_at, 3))
         self.serving.is_draining = True
         self._server.drain()
         self._on_endpoint_changed()
@@ -409,7 +412,7 @@
         self._entry.stop_accepting(
             StopWindow(started_at + linger_s, started_at + early_s, started_at + limit_s)
         )
-        await asyncio.sleep(linger_s)
+        await asyncio.sleep(started_at + linger_s - monotonic())
         self.serving.give_back_waiting()
         await self._finish_work(started_at + limit_s)
         if self._entry.is_busy:
