Wait for the run log of a target that no call has reached yet

Cause: the test waits until a long payment runs and reads the run log of its target for that, 0.5 s after the first calls; beside load none had run by then, and the file did not exist. No call was refused falsely: the failures had not begun.

A missing file now counts as one without runs; the limit of 10 s on the wait is the same.

--- a/tests/test_system/test_true_refusals.py
+++ b/tests/test_system/test_true_refusals.py
@@ -151,8 +151,10 @@
 
     async def wait_for_long_payment(self, system: System, log_name: str) -> None:
         """Wait until a long payment runs at the target with this run log."""
+        path = system.folder / log_name
         async with asyncio.timeout(PAYMENT_TIMEOUT_S):
-            while not any(map(is_long_payment_running, read_run_log(system.folder / log_name))):
+            # The file is missing until the first run.
+            while not path.exists() or not any(map(is_long_payment_running, read_run_log(path))):
                 await asyncio.sleep(0.005)
 
     async def pause(self, process: ManagedProcess) -> None:
